--- /dev/null
+++ b/note/compiled.go
@@ -0,0 +1,69 @@
+package note
+
+import (
+	"crypto/subtle"
+	"slices"
+	"sort"
+	"strings"
+
+	"bluebellhold/id"
+)
+
+// Compiled is a Configuration with the indexes that decide requests.
+//
+// It is immutable and safe for concurrent use.
+type Compiled struct {
+	Configuration
+	keys   map[id.Digest]keyOwner
+	routes map[id.Service][]Route
+}
+
+type keyOwner struct {
+	key          id.Key
+	organisation id.Organisation
+	digest       id.Digest
+}
+
+// Compile builds the indexes of c.
+func Compile(c Configuration) *Compiled {
+	out := &Compiled{
+		Configuration: c,
+		keys:          make(map[id.Digest]keyOwner, len(c.Keys)),
+		routes:        make(map[id.Service][]Route, len(c.Services)),
+	}
+	for name, key := range c.Keys {
+		out.keys[key.Digest] = keyOwner{key: name, organisation: key.Organisation, digest: key.Digest}
+	}
+	for name, service := range c.Services {
+		routes := slices.Clone(service.Routes)
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Path) > len(routes[j].Path) })
+		out.routes[name] = routes
+	}
+	return out
+}
+
+// Owner returns the key and the organisation that the digest of a secret belongs to.
+func (c *Compiled) Owner(secret id.Digest) (id.Key, id.Organisation, bool) {
+	owner, ok := c.keys[secret]
+	if !ok || subtle.ConstantTimeCompare(owner.digest[:], secret[:]) != 1 {
+		return "", "", false
+	}
+	return owner.key, owner.organisation, true
+}
+
+// Route returns the route of a service with the longest path prefix that matches.
+//
+// A prefix matches whole path segments only: "/draws" matches "/draws" and "/draws/7" but not "/drawsheet".
+func (c *Compiled) Route(service id.Service, method, path string) (Route, bool) {
+	for _, r := range c.routes[service] {
+		if hasPathPrefix(path, string(r.Path)) && (len(r.Methods) == 0 || slices.Contains(r.Methods, method)) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+func hasPathPrefix(path, prefix string) bool {
+	prefix = strings.TrimSuffix(prefix, "/")
+	return strings.HasPrefix(path, prefix) && (len(path) == len(prefix) || path[len(prefix)] == '/')
+}
