Add stand-in for the platform and the upstreams

Tests and process scenarios need a platform and upstreams whose faults they control. The stand-in serves platform.Memory through platform.Handler with faults (down, slow, lost answers, cut by instance, lagging list) and any number of upstreams with slots, service time, cold start, shedding, load reports that lag or lie, and simulated deaths. It counts runs by idempotency key, by upstream and by region, and is steered in process or over HTTP.

A slow request takes effect even if its caller has given up, because an instance must expect late effects. A lost answer drops the connection after the commit. Only loopback addresses are allowed.

--- /dev/null
+++ b/internal/standin/config.go
@@ -0,0 +1,165 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"bluebellhold/id"
+	"bluebellhold/platform"
+)
+
+// Milliseconds is a duration in the settings and in the control API.
+type Milliseconds int64
+
+// Duration converts m.
+func (m Milliseconds) Duration() time.Duration {
+	return time.Duration(m) * time.Millisecond
+}
+
+// Config is the settings of a stand-in; empty addresses stand for a free port of 127.0.0.1.
+type Config struct {
+	Control  string                    `json:"control,omitempty"`
+	Platform string                    `json:"platform,omitempty"`
+	Members  Members                   `json:"members,omitzero"`
+	Services map[id.Service][]Upstream `json:"services,omitempty"`
+}
+
+// Members is the list of instances that the platform shows, with the lag after which a change becomes visible.
+//
+// With Probe set, only members that accept a connection at their peer address are listed.
+type Members struct {
+	List  []platform.Member `json:"list,omitempty"`
+	Probe bool              `json:"probe,omitempty"`
+	Lag   Milliseconds      `json:"lag,omitempty"`
+}
+
+// Upstream configures one simulated server.
+//
+// Time is the service time of a request. After each start the server is cold: the service time is multiplied by
+// Factor until Cold has passed or, if Warm is positive, until it has done that many requests. Outage is how long it
+// stays down after a request marked Test-Crash.
+type Upstream struct {
+	Name       id.Upstream   `json:"name"`
+	Service    id.Service    `json:"service,omitempty"`
+	Region     id.Region     `json:"region"`
+	DataCentre id.DataCentre `json:"datacentre"`
+	Address    string        `json:"address,omitempty"`
+	Slots      id.Slots      `json:"slots"`
+	Time       Milliseconds  `json:"time,omitempty"`
+	Cold       Milliseconds  `json:"cold,omitempty"`
+	Factor     float64       `json:"factor,omitempty"`
+	Warm       int           `json:"warm,omitempty"`
+	Outage     Milliseconds  `json:"outage,omitempty"`
+}
+
+// Parse reads settings and checks them; it refuses unknown fields.
+func Parse(body []byte) (Config, error) {
+	var config Config
+	if err := decode(bytes.NewReader(body), &config); err != nil {
+		return Config{}, err
+	}
+	return config, config.check()
+}
+
+// decode reads exactly one JSON value without unknown fields.
+func decode(body io.Reader, into any) error {
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return &ConfigError{Field: "JSON", Found: err.Error(), Allowed: "one object with known fields"}
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return &ConfigError{Field: "JSON", Found: "more than one value", Allowed: "one object"}
+	}
+	return nil
+}
+
+func (c Config) check() error {
+	if err := checkAddress("control", c.Control); err != nil {
+		return err
+	}
+	if err := checkAddress("platform", c.Platform); err != nil {
+		return err
+	}
+	if err := c.Members.check(); err != nil {
+		return err
+	}
+	names := make(map[id.Upstream]bool)
+	for service, upstreams := range c.Services {
+		for _, u := range upstreams {
+			if u.Service != "" && u.Service != service {
+				return &ConfigError{Field: "service", Found: u.Service, Allowed: service}
+			}
+			u.Service = service
+			if err := u.check(); err != nil {
+				return err
+			}
+			if names[u.Name] {
+				return &ConfigError{Field: "name", Found: u.Name, Allowed: "each name once"}
+			}
+			names[u.Name] = true
+		}
+	}
+	return nil
+}
+
+func (m Members) check() error {
+	if m.Lag < 0 {
+		return &ConfigError{Field: "lag", Found: m.Lag, Allowed: "zero or more"}
+	}
+	names := make(map[id.Instance]bool)
+	for _, member := range m.List {
+		if member.Instance == "" || names[member.Instance] {
+			return &ConfigError{Field: "instance", Found: member.Instance, Allowed: "each name once, not empty"}
+		}
+		names[member.Instance] = true
+		if m.Probe && member.Peer == "" {
+			return &ConfigError{Field: "peer", Found: member.Peer, Allowed: "an address to probe"}
+		}
+		if err := checkAddress("peer", member.Peer); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (u Upstream) check() error {
+	if u.Name == "" || u.Service == "" || u.Region == "" {
+		return &ConfigError{Field: "upstream", Found: u, Allowed: "name, service and region not empty"}
+	}
+	if u.Slots < 1 {
+		return &ConfigError{Field: "slots", Found: u.Slots, Allowed: "at least 1"}
+	}
+	if u.Time < 0 || u.Cold < 0 || u.Outage < 0 || u.Factor < 0 || u.Warm < 0 {
+		return &ConfigError{Field: "upstream", Found: u, Allowed: "no negative numbers"}
+	}
+	return checkAddress("address", u.Address)
+}
+
+// checkAddress allows loopback addresses only, so that no test load leaves the machine.
+func checkAddress(field, address string) error {
+	if address == "" {
+		return nil
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil || !net.ParseIP(host).IsLoopback() {
+		return &ConfigError{Field: field, Found: address, Allowed: "a loopback IP address with a port"}
+	}
+	return nil
+}
+
+// ConfigError reports a value that settings or a control request must not have.
+type ConfigError struct {
+	Field   string
+	Found   any
+	Allowed any
+}
+
+// Error names the field, the value and what is allowed.
+func (e *ConfigError) Error() string {
+	return fmt.Sprintf("standin: %s is %v; allowed: %v", e.Field, e.Found, e.Allowed)
+}
--- /dev/null
+++ b/internal/standin/control.go
@@ -0,0 +1,174 @@
+package standin
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"bluebellhold/id"
+)
+
+// Action is what a Change does to the upstreams that it selects.
+type Action string
+
+// The actions of a Change. Kill drops all connections without answers until Revive; Drain sets the mark after which
+// started work counts as late. Add starts the new upstream in the change's field Upstream.
+const (
+	Add     Action = "start"
+	Kill    Action = "kill"
+	Revive  Action = "revive"
+	Drain   Action = "drain"
+	Undrain Action = "undrain"
+)
+
+// Change selects upstreams by all of Name, Service, Region and DataCentre that are not empty, applies the Action and
+// sets those of the other fields that are given.
+//
+// Lag, Lie and Mute change the load reports; a negative Lie ends the lie.
+type Change struct {
+	Name       id.Upstream   `json:"name,omitempty"`
+	Service    id.Service    `json:"service,omitempty"`
+	Region     id.Region     `json:"region,omitempty"`
+	DataCentre id.DataCentre `json:"datacentre,omitempty"`
+	Action     Action        `json:"action,omitempty"`
+	Upstream   *Upstream     `json:"upstream,omitempty"`
+	Slots      *id.Slots     `json:"slots,omitempty"`
+	Time       *Milliseconds `json:"time,omitempty"`
+	Outage     *Milliseconds `json:"outage,omitempty"`
+	Lag        *Milliseconds `json:"lag,omitempty"`
+	Lie        *int          `json:"lie,omitempty"`
+	Mute       *bool         `json:"mute,omitempty"`
+}
+
+func (c Change) check() error {
+	switch c.Action {
+	case "", Kill, Revive, Drain, Undrain:
+	default:
+		return &ConfigError{Field: "action", Found: c.Action, Allowed: []Action{Add, Kill, Revive, Drain, Undrain}}
+	}
+	if c.Upstream != nil {
+		return &ConfigError{Field: "upstream", Found: c.Upstream.Name, Allowed: "only with action start"}
+	}
+	if c.Slots != nil && *c.Slots < 1 {
+		return &ConfigError{Field: "slots", Found: *c.Slots, Allowed: "at least 1"}
+	}
+	for _, m := range []*Milliseconds{c.Time, c.Outage, c.Lag} {
+		if m != nil && *m < 0 {
+			return &ConfigError{Field: "time, outage or lag", Found: *m, Allowed: "zero or more"}
+		}
+	}
+	return nil
+}
+
+func (c Change) selects(u Upstream) bool {
+	return (c.Name == "" || c.Name == u.Name) && (c.Service == "" || c.Service == u.Service) &&
+		(c.Region == "" || c.Region == u.Region) && (c.DataCentre == "" || c.DataCentre == u.DataCentre)
+}
+
+// Change changes the selected upstreams; it is an error if none is selected.
+func (s *Server) Change(c Change) error {
+	if c.Action == Add {
+		if c.Upstream == nil {
+			return &ConfigError{Field: "upstream", Found: "nothing", Allowed: "the upstream to start"}
+		}
+		return s.add(*c.Upstream)
+	}
+	if err := c.check(); err != nil {
+		return err
+	}
+	if c.Name == "" && c.Service == "" && c.Region == "" && c.DataCentre == "" {
+		return &ConfigError{Field: "selection", Found: "nothing", Allowed: "name, service, region or datacentre"}
+	}
+	found := false
+	for _, u := range s.each() {
+		if !c.selects(u.settings()) {
+			continue
+		}
+		found = true
+		if err := u.change(c); err != nil {
+			return err
+		}
+	}
+	if !found {
+		return &ConfigError{Field: "selection", Found: c, Allowed: "an upstream that exists"}
+	}
+	return nil
+}
+
+func (u *upstream) change(c Change) error {
+	u.set(c)
+	switch c.Action {
+	case Kill:
+		u.down()
+	case Revive:
+		return u.revive()
+	case Drain, Undrain:
+		u.drain(c.Action == Drain)
+	}
+	return nil
+}
+
+func (u *upstream) set(c Change) {
+	u.m.Lock()
+	defer u.m.Unlock()
+	if c.Slots != nil {
+		u.config.Slots = *c.Slots
+	}
+	if c.Time != nil {
+		u.config.Time = *c.Time
+	}
+	if c.Outage != nil {
+		u.config.Outage = *c.Outage
+	}
+	if c.Lag != nil {
+		u.reports.lag = c.Lag.Duration()
+		u.reports.history = []sample{{at: time.Now(), running: u.counts.Running}}
+	}
+	if c.Lie != nil {
+		u.reports.lie = *c.Lie
+	}
+	if c.Mute != nil {
+		u.reports.mute = *c.Mute
+	}
+}
+
+func (s *Server) routes() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/control/faults", func(w http.ResponseWriter, r *http.Request) {
+		var faults Faults
+		apply(w, r, &faults, func() error { return s.SetFaults(faults) })
+	}).Methods(http.MethodPost)
+	router.HandleFunc("/control/members", func(w http.ResponseWriter, r *http.Request) {
+		var config Members
+		apply(w, r, &config, func() error { return s.SetMembers(config) })
+	}).Methods(http.MethodPost)
+	router.HandleFunc("/control/upstreams", func(w http.ResponseWriter, r *http.Request) {
+		var change Change
+		apply(w, r, &change, func() error { return s.Change(change) })
+	}).Methods(http.MethodPost)
+	router.HandleFunc("/control/upstreams", func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, http.StatusOK, struct {
+			Platform  string     `json:"platform"`
+			Upstreams []Upstream `json:"upstreams"`
+		}{s.PlatformAddress(), s.Upstreams()})
+	}).Methods(http.MethodGet)
+	router.HandleFunc("/control/counts", func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, http.StatusOK, s.Counts())
+	}).Methods(http.MethodGet)
+	return router
+}
+
+func apply(w http.ResponseWriter, r *http.Request, into any, change func() error) {
+	err := decode(http.MaxBytesReader(w, r.Body, 1<<20), into)
+	if err == nil {
+		err = change()
+	}
+	if err != nil {
+		reply(w, http.StatusBadRequest, struct {
+			Error string `json:"error"`
+		}{err.Error()})
+		return
+	}
+	reply(w, http.StatusOK, struct{}{})
+}
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,249 @@
+package standin_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhold/id"
+	"bluebellhold/internal/standin"
+	"bluebellhold/platform"
+)
+
+// bound is far above what any awaited change takes; it only ends a test that would hang.
+const bound = 20 * time.Second
+
+func start(t *testing.T, slots id.Slots) (*standin.Server, string) {
+	t.Helper()
+	server, err := standin.Start(standin.Config{Services: map[id.Service][]standin.Upstream{
+		"draws": {{Name: "draws-1", Region: "osrednja", Slots: slots, Outage: 50}},
+	}})
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, server.Close()) })
+	return server, server.Upstreams()[0].Address
+}
+
+func counts(s *standin.Server) standin.UpstreamCounts {
+	return s.Counts().Upstreams["draws-1"]
+}
+
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	require.Eventually(t, condition, bound, 5*time.Millisecond)
+}
+
+func send(ctx context.Context, address string, headers ...string) (int, http.Header, string, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/draws/7?x=1", strings.NewReader("names"))
+	if err != nil {
+		return 0, nil, "", err
+	}
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, response.Header, string(body), err
+}
+
+// hold sends a request that runs until it is stopped; failed receives its error.
+func hold(t *testing.T, s *standin.Server, address string) (stop func(), failed chan error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	failed = make(chan error, 1)
+	running := counts(s).Running
+	go func() {
+		_, _, _, err := send(ctx, address, "Test-Slow", "3600000")
+		failed <- err
+	}()
+	eventually(t, func() bool { return counts(s).Running > running })
+	return cancel, failed
+}
+
+// Guards against a shed request that counts as run, and against work that goes on after its caller has gone.
+func TestShedAndCancel(t *testing.T) {
+	server, address := start(t, 1)
+	stop, failed := hold(t, server, address)
+	status, header, _, err := send(context.Background(), address, "Idempotency-Key", "k")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Equal(t, "not run", header.Get("Outcome"))
+	require.Zero(t, server.Counts().Keys["k"])
+
+	stop()
+	require.Error(t, <-failed)
+	eventually(t, func() bool { return counts(server).Running == 0 })
+	status, _, _, err = send(context.Background(), address)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, standin.UpstreamCounts{Runs: 2, Done: 1, Cancelled: 1, Shed: 1, Peak: 1}, counts(server))
+	require.Equal(t, standin.Place{Peak: 1}, server.Counts().Places["osrednja/draws"])
+}
+
+// Guards against a simulated death that spares requests in flight, answers them or takes another upstream along.
+func TestCrash(t *testing.T) {
+	server, address := start(t, 4)
+	require.NoError(t, server.Change(standin.Change{Action: standin.Add, Upstream: &standin.Upstream{
+		Name: "draws-2", Service: "draws", Region: "osrednja", Slots: 1,
+	}}))
+	_, bystander := hold(t, server, address)
+	_, _, _, err := send(context.Background(), address, "Test-Crash", "yes")
+	require.Error(t, err)
+	require.Error(t, <-bystander)
+	status, _, _, err := send(context.Background(), server.Upstreams()[1].Address)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	eventually(t, func() bool {
+		_, _, _, err := send(context.Background(), address)
+		return err == nil
+	})
+	require.Equal(t, int64(1), counts(server).Crashes)
+
+	require.NoError(t, server.Change(standin.Change{Name: "draws-1", Action: standin.Kill}))
+	_, _, _, err = send(context.Background(), address)
+	require.Error(t, err)
+	require.NoError(t, server.Change(standin.Change{Region: "osrednja", Action: standin.Revive}))
+	_, _, _, err = send(context.Background(), address)
+	require.NoError(t, err)
+}
+
+// Guards against marks that do not do what scenarios rely on.
+func TestMarkedRequests(t *testing.T) {
+	server, address := start(t, 4)
+	ctx := context.Background()
+	_, _, body, err := send(ctx, address, "Idempotency-Key", "k", "Authorization", "Bearer x")
+	require.NoError(t, err)
+	var echo standin.Echo
+	require.NoError(t, json.Unmarshal([]byte(body), &echo))
+	require.Equal(t, id.DigestOf([]byte("names")).String(), echo.Digest)
+	require.Equal(t, "/draws/7?x=1", echo.Path)
+	require.Equal(t, "Bearer x", echo.Headers.Get("Authorization"))
+	require.Equal(t, int64(1), server.Counts().Keys["k"])
+	require.Equal(t, int64(1), counts(server).Keyed)
+
+	_, _, body, err = send(ctx, address, "Test-Size", "100000")
+	require.NoError(t, err)
+	require.Equal(t, strings.Repeat(echo.Digest, 100000)[:100000], body)
+	_, _, body, err = send(ctx, address, "Test-Break", "70000", "Test-Size", "100000")
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.Len(t, body, 70000)
+
+	status, header, _, err := send(ctx, address, "Request-Timeout", "20", "Test-Slow", "3600000")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusGatewayTimeout, status)
+	require.Equal(t, "unknown", header.Get("Outcome"))
+
+	require.NoError(t, server.Change(standin.Change{Service: "draws", Action: standin.Drain}))
+	require.Zero(t, counts(server).Late)
+	_, _, _, err = send(ctx, address)
+	require.NoError(t, err)
+	require.Equal(t, int64(1), counts(server).Late)
+}
+
+// Guards against load reports that cannot lag or lie, which would hide a chooser that trusts them.
+func TestLoadReports(t *testing.T) {
+	server, address := start(t, 4)
+	load := func() string {
+		response, err := http.Get("http://" + address + "/load")
+		require.NoError(t, err)
+		defer func() { _ = response.Body.Close() }()
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		return response.Status + strings.TrimSpace(string(body))
+	}
+	lag, lie, mute := standin.Milliseconds(3600000), 99, true
+	hold(t, server, address)
+	require.Equal(t, `200 OK{"running":1,"slots":4}`, load())
+	require.NoError(t, server.Change(standin.Change{Name: "draws-1", Lag: &lag}))
+	hold(t, server, address)
+	require.Equal(t, `200 OK{"running":1,"slots":4}`, load())
+	require.NoError(t, server.Change(standin.Change{Name: "draws-1", Lie: &lie}))
+	require.Equal(t, `200 OK{"running":99,"slots":4}`, load())
+	require.NoError(t, server.Change(standin.Change{Name: "draws-1", Mute: &mute}))
+	require.Equal(t, `503 Service Unavailable`, load())
+}
+
+// Guards against faults that hit the wrong instance, undo the write or cannot be ended.
+func TestPlatformFaults(t *testing.T) {
+	server, _ := start(t, 1)
+	ctx := context.Background()
+	client := func(name id.Instance) *platform.Client {
+		return platform.NewClient(platform.ClientConfig{Address: server.PlatformAddress(), Instance: name, Timeout: bound})
+	}
+	first, second := client("osrednja-1"), client("osrednja-2")
+	insert := func(name string) platform.Transaction {
+		return platform.Transaction{Conditions: []platform.Condition{{Name: name}}, Writes: []platform.Write{{Name: name}}}
+	}
+	var unavailable *platform.UnavailableError
+
+	require.NoError(t, server.SetFaults(standin.Faults{Cut: []id.Instance{"osrednja-1"}, Slow: 1}))
+	_, err := first.Transact(ctx, insert("a"))
+	require.ErrorAs(t, err, &unavailable)
+	rows, err := second.Read(ctx, []string{"a"})
+	require.NoError(t, err)
+	require.Zero(t, rows[0].Version)
+
+	require.NoError(t, server.SetFaults(standin.Faults{Lost: 1}))
+	_, err = first.Transact(ctx, insert("a"))
+	require.ErrorAs(t, err, &unavailable)
+	result, err := first.Transact(ctx, insert("a"))
+	require.NoError(t, err)
+	require.False(t, result.Committed)
+	require.NotZero(t, result.Rows[0].Version)
+
+	for _, down := range []standin.Down{standin.Status, standin.Refuse} {
+		require.NoError(t, server.SetFaults(standin.Faults{Down: down}))
+		_, err = first.Read(ctx, nil)
+		require.ErrorAs(t, err, &unavailable)
+	}
+	require.NoError(t, server.SetFaults(standin.Faults{}))
+	_, err = first.Transact(ctx, insert("b"))
+	require.NoError(t, err)
+	require.Equal(t, standin.StoreCounts{Transactions: 3, Committed: 2, Lost: 1, Written: 2, Reads: 1, Rows: 1}, server.Counts().Platform)
+}
+
+// Guards against a list that shows changes before the lag or keeps members whose port is closed.
+func TestMembers(t *testing.T) {
+	server, _ := start(t, 1)
+	client := platform.NewClient(platform.ClientConfig{Address: server.PlatformAddress()})
+	listed := func() int {
+		list, err := client.List(context.Background())
+		require.NoError(t, err)
+		return len(list)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	member := platform.Member{Instance: "osrednja-1", Peer: listener.Addr().String()}
+	require.NoError(t, server.SetMembers(standin.Members{List: []platform.Member{member}, Probe: true}))
+	eventually(t, func() bool { return listed() == 1 })
+	require.NoError(t, listener.Close())
+	eventually(t, func() bool { return listed() == 0 })
+	require.NoError(t, server.SetMembers(standin.Members{List: []platform.Member{member}, Lag: 3600000}))
+	require.Zero(t, listed())
+}
+
+// Guards against settings that are read although a part of them is not understood.
+func TestSettingsAreCheckedWhole(t *testing.T) {
+	for _, body := range []string{
+		`{"unknown":1}`, `{} {}`, `{"control":"192.0.2.1:80"}`, `{"platform":"nowhere"}`, `{"members":{"lag":-1}}`,
+		`{"members":{"list":[{"instance":"a"},{"instance":"a"}]}}`, `{"members":{"list":[{"instance":"a"}],"probe":true}}`,
+		`{"services":{"draws":[{"name":"a","region":"r","slots":0}]}}`, `{"services":{"draws":[{"name":"a","slots":1}]}}`,
+		`{"services":{"draws":[{"name":"a","region":"r","slots":1}],"gifts":[{"name":"a","region":"r","slots":1}]}}`,
+	} {
+		_, err := standin.Parse([]byte(body))
+		var invalid *standin.ConfigError
+		require.ErrorAs(t, err, &invalid, body)
+	}
+	_, err := standin.Parse([]byte(`{"services":{"draws":[{"name":"a","region":"r","slots":1,"address":"127.0.0.1:0"}]}}`))
+	require.NoError(t, err)
+}
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,196 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"bluebellhold/id"
+	"bluebellhold/platform"
+)
+
+// Down is the way in which the platform is down.
+type Down string
+
+// The ways of being down. With Refuse, connections are dropped and new ones refused; with Status, requests are
+// answered with status 503.
+const (
+	Up     Down = ""
+	Refuse Down = "refuse"
+	Status Down = "503"
+)
+
+// All as the number of lost answers loses every answer.
+const All = -1
+
+// Faults are the faults of the platform; the zero value is a healthy platform.
+//
+// Slow delays each request before it takes effect, even if the caller has given up by then. Lost is the number of
+// committed transactions whose answers are dropped from now on. Requests of the instances in Cut are dropped before
+// they take effect.
+type Faults struct {
+	Down Down          `json:"down,omitempty"`
+	Slow Milliseconds  `json:"slow,omitempty"`
+	Lost int           `json:"lost,omitempty"`
+	Cut  []id.Instance `json:"cut,omitempty"`
+}
+
+func (f Faults) check() error {
+	if f.Down != Up && f.Down != Refuse && f.Down != Status {
+		return &ConfigError{Field: "down", Found: f.Down, Allowed: []Down{Up, Refuse, Status}}
+	}
+	if f.Slow < 0 || f.Lost < All {
+		return &ConfigError{Field: "faults", Found: f, Allowed: "slow from 0, lost from -1"}
+	}
+	return nil
+}
+
+// StoreCounts counts what the platform did: calls to the table, rows written by committed transactions and rows read
+// or scanned.
+type StoreCounts struct {
+	Transactions int64 `json:"transactions"`
+	Committed    int64 `json:"committed"`
+	Lost         int64 `json:"lost"`
+	Written      int64 `json:"written"`
+	Reads        int64 `json:"reads"`
+	Scans        int64 `json:"scans"`
+	Rows         int64 `json:"rows"`
+	Objects      int64 `json:"objects"`
+	Lists        int64 `json:"lists"`
+}
+
+// store is the platform: a Memory with faults and counts.
+type store struct {
+	platform.Memory
+	members *members
+	handler http.Handler
+
+	m      sync.Mutex
+	faults Faults
+	counts StoreCounts
+}
+
+func newStore(list *members) *store {
+	s := &store{members: list}
+	s.handler = platform.Handler(platform.HandlerConfig{Table: s, Objects: s, Directory: s})
+	return s
+}
+
+// ServeHTTP applies the faults and passes the request on.
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.m.Lock()
+	faults := s.faults
+	s.m.Unlock()
+	if slices.Contains(faults.Cut, id.Instance(r.Header.Get(platform.Header))) {
+		panic(http.ErrAbortHandler)
+	}
+	if faults.Down != Up {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if faults.Slow > 0 {
+		// The body is read first: a caller that gives up meanwhile does not keep the write from taking effect.
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(platform.DefaultLimit)))
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		time.Sleep(faults.Slow.Duration())
+	}
+	s.handler.ServeHTTP(w, r)
+}
+
+func (s *store) set(faults Faults) {
+	s.m.Lock()
+	defer s.m.Unlock()
+	faults.Cut = slices.Clone(faults.Cut)
+	s.faults = faults
+}
+
+func (s *store) count(add StoreCounts) {
+	s.m.Lock()
+	defer s.m.Unlock()
+	s.counts.Transactions += add.Transactions
+	s.counts.Committed += add.Committed
+	s.counts.Written += add.Written
+	s.counts.Reads += add.Reads
+	s.counts.Scans += add.Scans
+	s.counts.Rows += add.Rows
+	s.counts.Objects += add.Objects
+	s.counts.Lists += add.Lists
+}
+
+func (s *store) counted() StoreCounts {
+	s.m.Lock()
+	defer s.m.Unlock()
+	return s.counts
+}
+
+// loses reports whether the answer of a committed transaction is to be dropped.
+func (s *store) loses() bool {
+	s.m.Lock()
+	defer s.m.Unlock()
+	if s.faults.Lost == 0 {
+		return false
+	}
+	if s.faults.Lost > 0 {
+		s.faults.Lost--
+	}
+	s.counts.Lost++
+	return true
+}
+
+// Transact applies t and then drops the connection if the answer is to be lost.
+func (s *store) Transact(ctx context.Context, t platform.Transaction) (platform.Result, error) {
+	result, err := s.Memory.Transact(ctx, t)
+	if !result.Committed {
+		s.count(StoreCounts{Transactions: 1})
+		return result, err
+	}
+	s.count(StoreCounts{Transactions: 1, Committed: 1, Written: int64(len(t.Writes))})
+	if s.loses() {
+		panic(http.ErrAbortHandler)
+	}
+	return result, err
+}
+
+// Read counts and reads.
+func (s *store) Read(ctx context.Context, names []string) ([]platform.Row, error) {
+	s.count(StoreCounts{Reads: 1, Rows: int64(len(names))})
+	return s.Memory.Read(ctx, names)
+}
+
+// Scan counts and scans.
+func (s *store) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	rows, err := s.Memory.Scan(ctx, prefix, after, limit)
+	s.count(StoreCounts{Scans: 1, Rows: int64(len(rows))})
+	return rows, err
+}
+
+// Put counts and stores.
+func (s *store) Put(ctx context.Context, name string, body []byte) error {
+	s.count(StoreCounts{Objects: 1})
+	return s.Memory.Put(ctx, name, body)
+}
+
+// Get counts and reads.
+func (s *store) Get(ctx context.Context, name string) ([]byte, error) {
+	s.count(StoreCounts{Objects: 1})
+	return s.Memory.Get(ctx, name)
+}
+
+// Delete counts and removes.
+func (s *store) Delete(ctx context.Context, name string) error {
+	s.count(StoreCounts{Objects: 1})
+	return s.Memory.Delete(ctx, name)
+}
+
+// List counts and returns the members that are visible after the lag.
+func (s *store) List(context.Context) ([]platform.Member, error) {
+	s.count(StoreCounts{Lists: 1})
+	return s.members.visible(time.Now()), nil
+}
