--- /dev/null
+++ b/internal/strict/decode.go
@@ -0,0 +1,212 @@
+package strict
+
+import (
+	"encoding"
+	"encoding/json"
+	"reflect"
+	"strconv"
+	"strings"
+)
+
+// maxShown bounds the part of a value that is quoted in a report.
+const maxShown = 80
+
+// Report receives one wrong field: its path, the value seen and what is allowed.
+type Report func(path, value, allowed string)
+
+// Decode fills target, a pointer, from the JSON document body and reports every wrong field.
+//
+// A struct field is required unless its json tag has omitempty or omitzero. Values of unknown fields and of types
+// that decode themselves from text are described, not quoted, because they may be secrets.
+func Decode(body []byte, target any, report Report) {
+	tree, ok := parse(body, report)
+	if !ok {
+		return
+	}
+	d := decoder{report: report}
+	d.decode(tree, reflect.ValueOf(target).Elem(), "")
+}
+
+type decoder struct {
+	report Report
+}
+
+func (d decoder) decode(tree any, target reflect.Value, path string) {
+	if text, ok := target.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		d.text(tree, text, path)
+		return
+	}
+	switch target.Kind() {
+	case reflect.Pointer:
+		target.Set(reflect.New(target.Type().Elem()))
+		d.decode(tree, target.Elem(), path)
+	case reflect.Struct:
+		d.structure(tree, target, path)
+	case reflect.Map:
+		d.mapping(tree, target, path)
+	case reflect.Slice:
+		d.list(tree, target, path)
+	default:
+		d.scalar(tree, target, path)
+	}
+}
+
+func (d decoder) text(tree any, target encoding.TextUnmarshaler, path string) {
+	text, ok := tree.(string)
+	if !ok {
+		d.report(path, describe(tree), "a string")
+		return
+	}
+	if target.UnmarshalText([]byte(text)) != nil {
+		d.report(path, "a string of "+strconv.Itoa(len(text))+" bytes", "64 hexadecimal digits")
+	}
+}
+
+func (d decoder) structure(tree any, target reflect.Value, path string) {
+	members, ok := tree.(object)
+	if !ok {
+		d.report(path, describe(tree), "an object")
+		return
+	}
+	fields, names := fieldsOf(target.Type())
+	given := make(map[string]bool, len(members))
+	for _, m := range members {
+		given[m.name] = true
+		f, known := fields[m.name]
+		if !known {
+			d.report(join(path, m.name), "an unknown field with "+describe(m.value), "one of "+strings.Join(names, ", "))
+			continue
+		}
+		d.decode(m.value, target.Field(f.index), join(path, m.name))
+	}
+	for _, name := range names {
+		if fields[name].required && !given[name] {
+			d.report(join(path, name), "missing", "a value")
+		}
+	}
+}
+
+type field struct {
+	index    int
+	required bool
+}
+
+func fieldsOf(t reflect.Type) (map[string]field, []string) {
+	fields := make(map[string]field, t.NumField())
+	var names []string
+	for i := range t.NumField() {
+		name, options, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		if name == "" || name == "-" {
+			continue
+		}
+		fields[name] = field{index: i, required: !strings.Contains(options, "omit")}
+		names = append(names, name)
+	}
+	return fields, names
+}
+
+func (d decoder) mapping(tree any, target reflect.Value, path string) {
+	members, ok := tree.(object)
+	if !ok {
+		d.report(path, describe(tree), "an object")
+		return
+	}
+	target.Set(reflect.MakeMapWithSize(target.Type(), len(members)))
+	for _, m := range members {
+		value := reflect.New(target.Type().Elem()).Elem()
+		d.decode(m.value, value, join(path, m.name))
+		target.SetMapIndex(reflect.ValueOf(m.name).Convert(target.Type().Key()), value)
+	}
+}
+
+func (d decoder) list(tree any, target reflect.Value, path string) {
+	values, ok := tree.([]any)
+	if !ok {
+		d.report(path, describe(tree), "a list")
+		return
+	}
+	target.Set(reflect.MakeSlice(target.Type(), len(values), len(values)))
+	for i, value := range values {
+		d.decode(value, target.Index(i), join(path, strconv.Itoa(i)))
+	}
+}
+
+func (d decoder) scalar(tree any, target reflect.Value, path string) {
+	switch target.Kind() {
+	case reflect.String:
+		if s, ok := tree.(string); ok {
+			target.SetString(s)
+			return
+		}
+		d.report(path, show(tree), "a string")
+	case reflect.Bool:
+		if b, ok := tree.(bool); ok {
+			target.SetBool(b)
+			return
+		}
+		d.report(path, show(tree), "true or false")
+	default:
+		d.number(tree, target, path)
+	}
+}
+
+func (d decoder) number(tree any, target reflect.Value, path string) {
+	n, ok := tree.(json.Number)
+	if !ok {
+		d.report(path, show(tree), "a number")
+		return
+	}
+	switch {
+	case target.CanInt():
+		if i, err := strconv.ParseInt(n.String(), 10, target.Type().Bits()); err == nil {
+			target.SetInt(i)
+			return
+		}
+		d.report(path, show(tree), "an integer")
+	case target.CanUint():
+		if u, err := strconv.ParseUint(n.String(), 10, target.Type().Bits()); err == nil {
+			target.SetUint(u)
+			return
+		}
+		d.report(path, show(tree), "an integer of at least 0")
+	default:
+		if f, err := strconv.ParseFloat(n.String(), target.Type().Bits()); err == nil {
+			target.SetFloat(f)
+			return
+		}
+		d.report(path, show(tree), "a number within the range of a 64-bit float")
+	}
+}
+
+// show quotes a scalar and describes anything else.
+func show(tree any) string {
+	switch v := tree.(type) {
+	case string:
+		if len(v) > maxShown {
+			v = v[:maxShown] + "..."
+		}
+		return strconv.Quote(v)
+	case json.Number:
+		s := v.String()
+		return s[:min(len(s), maxShown)]
+	case bool:
+		return strconv.FormatBool(v)
+	}
+	return describe(tree)
+}
+
+func describe(tree any) string {
+	switch tree.(type) {
+	case nil:
+		return "null"
+	case object:
+		return "an object"
+	case []any:
+		return "a list"
+	case string:
+		return "a string"
+	case bool:
+		return "a boolean"
+	}
+	return "a number"
+}
--- /dev/null
+++ b/note/apply.go
@@ -0,0 +1,180 @@
+package note
+
+import (
+	"maps"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"bluebellhold/id"
+)
+
+// sections are the fields that Configuration, Entries and Names have in common.
+var sections = []string{"Organisations", "Keys", "Services", "Links", "Sites", "Blocks", "Shifts", "Drains"}
+
+// Apply returns the configuration that follows c, with the next epoch.
+//
+// It applies all of n or nothing and changes neither argument. The error is a ConflictError if n is based on another
+// epoch, and otherwise an InvalidError that holds one FieldError for each wrong field.
+func Apply(c Configuration, n Note) (Configuration, error) {
+	if n.Base != nil && *n.Base != c.Epoch {
+		return Configuration{}, &ConflictError{Epoch: c.Epoch}
+	}
+	a := application{before: c, after: c, note: n, touched: make(map[string]string)}
+	n.check(&a.reporter)
+	a.after.Epoch++
+	a.after.Note = n.ID
+	for _, section := range sections {
+		a.section(section)
+	}
+	a.upstreams()
+	a.references()
+	if err := a.err(); err != nil {
+		return Configuration{}, err
+	}
+	return a.after, nil
+}
+
+// application is one Apply in progress.
+//
+// touched maps an entry of the configuration, such as "keys.k1", to its path in the note.
+type application struct {
+	reporter
+	before  Configuration
+	after   Configuration
+	note    Note
+	touched map[string]string
+}
+
+// section applies one section of the note by reflection, because all sections follow the same rules.
+func (a *application) section(section string) {
+	target := reflect.ValueOf(&a.after).Elem().FieldByName(section)
+	before := reflect.ValueOf(a.before).FieldByName(section)
+	add := reflect.ValueOf(a.note.Add).FieldByName(section)
+	change := reflect.ValueOf(a.note.Change).FieldByName(section)
+	withdraw := reflect.ValueOf(a.note.Withdraw).FieldByName(section)
+	if add.Len()+change.Len()+withdraw.Len() == 0 {
+		return
+	}
+	after := reflect.MakeMapWithSize(before.Type(), before.Len()+add.Len())
+	for entries := before.MapRange(); entries.Next(); {
+		after.SetMapIndex(entries.Key(), entries.Value())
+	}
+	name := strings.ToLower(section)
+	for i := range withdraw.Len() {
+		key := withdraw.Index(i)
+		if a.existing("withdraw."+name+"."+strconv.Itoa(i), name, key.String(), before.MapIndex(key).IsValid()) {
+			after.SetMapIndex(key, reflect.Value{})
+		}
+	}
+	for entries := change.MapRange(); entries.Next(); {
+		key := entries.Key()
+		if a.existing("change."+name+"."+key.String(), name, key.String(), before.MapIndex(key).IsValid()) {
+			after.SetMapIndex(key, a.value(entries.Value(), before.MapIndex(key)))
+		}
+	}
+	for entries := add.MapRange(); entries.Next(); {
+		key := entries.Key()
+		if a.absent("add."+name+"."+key.String(), name, key.String(), before.MapIndex(key).IsValid()) {
+			after.SetMapIndex(key, a.value(entries.Value(), reflect.Value{}))
+		}
+	}
+	target.Set(after)
+}
+
+// value returns the value to store: a service gets its own copy of the upstreams that it keeps or starts with.
+func (a *application) value(given, old reflect.Value) reflect.Value {
+	service, ok := given.Interface().(Service)
+	if !ok {
+		return given
+	}
+	if old.IsValid() {
+		service.Upstreams = old.Interface().(Service).Upstreams
+	}
+	service.Upstreams = maps.Clone(service.Upstreams)
+	return reflect.ValueOf(service)
+}
+
+// existing checks that an entry that is changed or withdrawn exists and is named once in the note.
+func (a *application) existing(at, section, name string, exists bool) bool {
+	entry := section + "." + name
+	if _, ok := a.touched[entry]; ok {
+		a.report(at, quote(name), "each name once in change and withdraw")
+		return false
+	}
+	a.touched[entry] = at
+	if !exists {
+		a.report(at, quote(name)+", which does not exist", "a name that exists")
+	}
+	return exists
+}
+
+func (a *application) absent(at, section, name string, exists bool) bool {
+	if exists {
+		a.report(at, quote(name)+", which exists", "a name that does not exist yet")
+		return false
+	}
+	a.touched[section+"."+name] = at
+	return true
+}
+
+// upstreams applies the upstreams that are named one by one.
+func (a *application) upstreams() {
+	for service := range a.note.Add.Services {
+		for name := range a.note.Add.Services[service].Upstreams {
+			at := "add.services." + string(service) + ".upstreams." + string(name)
+			a.touched["upstreams."+string(service)+"."+string(name)] = at
+		}
+	}
+	services := make(map[id.Service]string)
+	for service := range a.note.Withdraw.Upstreams {
+		services[service] = "withdraw.upstreams."
+	}
+	for service := range a.note.Change.Upstreams {
+		services[service] = "change.upstreams."
+	}
+	for service := range a.note.Add.Upstreams {
+		services[service] = "add.upstreams."
+	}
+	if len(services) > 0 {
+		a.after.Services = maps.Clone(a.after.Services)
+	}
+	for service, at := range services {
+		if _, ok := a.after.Services[service]; !ok {
+			a.report(at+string(service), quote(string(service))+", which does not exist", "a service that exists")
+			continue
+		}
+		a.serviceUpstreams(service)
+	}
+}
+
+func (a *application) serviceUpstreams(service id.Service) {
+	before := a.before.Services[service].Upstreams
+	updated := a.after.Services[service]
+	updated.Upstreams = maps.Clone(updated.Upstreams)
+	if updated.Upstreams == nil {
+		updated.Upstreams = make(map[id.Upstream]Upstream)
+	}
+	section := "upstreams." + string(service)
+	for i, name := range a.note.Withdraw.Upstreams[service] {
+		_, exists := before[name]
+		if a.existing("withdraw."+section+"."+strconv.Itoa(i), section, string(name), exists) {
+			delete(updated.Upstreams, name)
+		}
+	}
+	for name, value := range a.note.Change.Upstreams[service] {
+		_, exists := before[name]
+		if a.existing("change."+section+"."+string(name), section, string(name), exists) {
+			updated.Upstreams[name] = value
+		}
+	}
+	started := a.note.Add.Services[service].Upstreams
+	for name, value := range a.note.Add.Upstreams[service] {
+		_, exists := before[name]
+		_, twice := started[name]
+		if a.absent("add."+section+"."+string(name), section, string(name), exists || twice) {
+			updated.Upstreams[name] = value
+		}
+	}
+	a.after.Services[service] = updated
+}
--- a/note/configuration.go
+++ b/note/configuration.go
@@ -34,9 +34,11 @@
 }
 
 // Service is a group of upstreams with the routes that they serve.
+//
+// Upstream names are unique across all services, because a Drain is found by the upstream's name alone.
 type Service struct {
-	Routes    []Route                  `json:"routes"`
-	Upstreams map[id.Upstream]Upstream `json:"upstreams"`
+	Routes    []Route                  `json:"routes,omitempty"`
+	Upstreams map[id.Upstream]Upstream `json:"upstreams,omitempty"`
 }
 
 // Upstream is one server of a service.
--- /dev/null
+++ b/note/note.go
@@ -0,0 +1,61 @@
+package note
+
+import (
+	"bluebellhold/id"
+	"bluebellhold/internal/strict"
+)
+
+// Note is a release note: what is added, changed and withdrawn, as one atomic step.
+//
+// Add demands that a name is absent from the configuration, Change and Withdraw that it exists. If Base is set, the
+// note applies only to that epoch.
+type Note struct {
+	ID       id.Note   `json:"id"`
+	Base     *id.Epoch `json:"base,omitempty"`
+	Add      Entries   `json:"add,omitzero"`
+	Change   Entries   `json:"change,omitzero"`
+	Withdraw Names     `json:"withdraw,omitzero"`
+}
+
+// Entries are the values that a note adds or changes; a changed value replaces the old one as a whole.
+//
+// A changed service replaces the routes and keeps the upstreams, which Upstreams changes one by one. Added services
+// may carry their upstreams.
+type Entries struct {
+	Organisations map[id.Organisation]Organisation        `json:"organisations,omitempty"`
+	Keys          map[id.Key]Key                          `json:"keys,omitempty"`
+	Services      map[id.Service]Service                  `json:"services,omitempty"`
+	Upstreams     map[id.Service]map[id.Upstream]Upstream `json:"upstreams,omitempty"`
+	Links         map[string]Link                         `json:"links,omitempty"`
+	Sites         map[id.Site]Site                        `json:"sites,omitempty"`
+	Blocks        map[string]id.Site                      `json:"blocks,omitempty"`
+	Shifts        map[id.Shift]Shift                      `json:"shifts,omitempty"`
+	Drains        map[id.Upstream]Drain                   `json:"drains,omitempty"`
+}
+
+// Names are the entries that a note withdraws; withdrawing a service withdraws its upstreams.
+type Names struct {
+	Organisations []id.Organisation            `json:"organisations,omitempty"`
+	Keys          []id.Key                     `json:"keys,omitempty"`
+	Services      []id.Service                 `json:"services,omitempty"`
+	Upstreams     map[id.Service][]id.Upstream `json:"upstreams,omitempty"`
+	Links         []string                     `json:"links,omitempty"`
+	Sites         []id.Site                    `json:"sites,omitempty"`
+	Blocks        []string                     `json:"blocks,omitempty"`
+	Shifts        []id.Shift                   `json:"shifts,omitempty"`
+	Drains        []id.Upstream                `json:"drains,omitempty"`
+}
+
+// Parse decodes a release note and checks all that can be checked without a configuration.
+//
+// The error is an InvalidError that holds one FieldError for each wrong field.
+func Parse(body []byte) (Note, error) {
+	var n Note
+	var r reporter
+	strict.Decode(body, &n, r.report)
+	n.check(&r)
+	if err := r.err(); err != nil {
+		return Note{}, err
+	}
+	return n, nil
+}
