Add the fair queue of waiting requests

Requests of all organisations wait at the instance, and one that sends several times its rate must not delay the others. The queue serves organisations by start-time fair queueing and each organisation's requests by deadline. A request whose estimated start is after its deadline is refused at once.

--- /dev/null
+++ b/queue/dump.go
@@ -0,0 +1,48 @@
+package queue
+
+import (
+	"sort"
+	"time"
+
+	"bluebellhold/id"
+	"bluebellhold/note"
+)
+
+// Dump is the state of a Queue for operators.
+type Dump struct {
+	Slots         id.Slots           `json:"slots"`
+	Classes       []ClassDump        `json:"classes"`
+	Organisations []OrganisationDump `json:"organisations"`
+}
+
+// ClassDump is the state of one class; Took is the running mean of its service times.
+type ClassDump struct {
+	Class   note.Class    `json:"class"`
+	Waiting int           `json:"waiting"`
+	Running int           `json:"running"`
+	Took    time.Duration `json:"took"`
+}
+
+// OrganisationDump counts the items of one organisation.
+type OrganisationDump struct {
+	Organisation id.Organisation `json:"organisation"`
+	Waiting      int             `json:"waiting"`
+	Running      int             `json:"running"`
+}
+
+// Dump returns a copy of the state, organisations in the order of their names.
+func (q *Queue) Dump() Dump {
+	d := Dump{Slots: id.Slots(q.slots)}
+	for i := range q.classes {
+		c := &q.classes[i]
+		d.Classes = append(d.Classes, ClassDump{Class: c.name, Waiting: c.waiting, Running: c.running, Took: c.took})
+	}
+	for _, t := range q.tenants {
+		d.Organisations = append(d.Organisations,
+			OrganisationDump{Organisation: t.organisation, Waiting: t.waiting, Running: t.running})
+	}
+	sort.Slice(d.Organisations, func(i, j int) bool {
+		return d.Organisations[i].Organisation < d.Organisations[j].Organisation
+	})
+	return d
+}
--- /dev/null
+++ b/queue/tree.go
@@ -0,0 +1,138 @@
+package queue
+
+import (
+	"time"
+
+	"bluebellhold/id"
+)
+
+// node is a waiting item. It is part of its flow's tree and of the queue's two heaps.
+type node struct {
+	item     Item
+	sequence uint64 // order of arrival
+	pushed   time.Time
+	flow     *flow
+
+	left, right *node
+	size        int
+	priority    uint64
+
+	position [2]int // index in the heap of each order
+	late     bool
+}
+
+// before orders the items of an organisation by deadline, then by arrival.
+func (n *node) before(o *node) bool {
+	if c := n.item.Deadline.Compare(o.item.Deadline); c != 0 {
+		return c < 0
+	}
+	return n.sequence < o.sequence
+}
+
+// mix spreads sequence numbers over the priorities of the treap (the finaliser of splitmix64).
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func size(t *node) int {
+	if t == nil {
+		return 0
+	}
+	return t.size
+}
+
+func (n *node) resize() *node {
+	n.size = 1 + size(n.left) + size(n.right)
+	return n
+}
+
+// insert adds n to the treap t, which keeps the expected depth logarithmic and counts the items ahead of a deadline.
+func insert(t, n *node) *node {
+	if t == nil {
+		return n.resize()
+	}
+	if n.priority > t.priority {
+		n.left, n.right = split(t, n)
+		return n.resize()
+	}
+	if n.before(t) {
+		t.left = insert(t.left, n)
+	} else {
+		t.right = insert(t.right, n)
+	}
+	return t.resize()
+}
+
+// split divides t into the nodes before n and the others.
+func split(t, n *node) (low, high *node) {
+	if t == nil {
+		return nil, nil
+	}
+	if t.before(n) {
+		t.right, high = split(t.right, n)
+		return t.resize(), high
+	}
+	low, t.left = split(t.left, n)
+	return low, t.resize()
+}
+
+func merge(low, high *node) *node {
+	if low == nil {
+		return high
+	}
+	if high == nil {
+		return low
+	}
+	if low.priority > high.priority {
+		low.right = merge(low.right, high)
+		return low.resize()
+	}
+	high.left = merge(low, high.left)
+	return high.resize()
+}
+
+func remove(t, n *node) *node {
+	if t == n {
+		t = merge(n.left, n.right)
+		n.left, n.right = nil, nil
+		return t
+	}
+	if n.before(t) {
+		t.left = remove(t.left, n)
+	} else {
+		t.right = remove(t.right, n)
+	}
+	return t.resize()
+}
+
+func first(t *node) *node {
+	for t.left != nil {
+		t = t.left
+	}
+	return t
+}
+
+// ahead counts the items that a new item with this deadline would wait for.
+func ahead(t *node, deadline time.Time) int {
+	count := 0
+	for t != nil {
+		if t.item.Deadline.After(deadline) {
+			t = t.left
+			continue
+		}
+		count += 1 + size(t.left)
+		t = t.right
+	}
+	return count
+}
+
+// tenant is an organisation with waiting, running or recently served items.
+type tenant struct {
+	organisation id.Organisation
+	flows        [2]flow
+	waiting      int
+	running      int
+}
