Add process scenarios with testscript

Faults such as a killed or frozen process can only be tested with real processes. Scripts in internal/scenario start the programs of this module on free loopback ports with generated settings for the stand-in and seven instances, signal them by process id, steer the stand-in and send requests.

The commands are named terminate and crash because testscript reserves stop and kill; its stop ends a script with success, so a test refuses scripts that use it.

--- /dev/null
+++ b/internal/scenario/doc.go
@@ -0,0 +1,23 @@
+// Package scenario runs the programs of this module as processes, steered by the scripts in testdata.
+//
+// Besides the standard commands of testscript, scripts have these:
+//
+//	start NAME PROGRAM [ARG...]      run a program in the background until its log NAME.log has a line with "ready"
+//	terminate NAME                   send SIGTERM, wait and check the exit status ("!" expects a failure)
+//	crash NAME                       send SIGKILL and wait
+//	freeze NAME, thaw NAME           send SIGSTOP or SIGCONT
+//	log NAME                         print the log of a process
+//	control PATH JSON                post to the control address of the stand-in
+//	counts                           print the counts of the stand-in
+//	request TARGET METHOD PATH [HEADER=VALUE...] [body=TEXT] [within=DURATION]
+//	                                 print "status N", the Outcome header and the body; "!" expects no whole answer
+//	await [-within=DURATION] REGEXP COMMAND [ARG...]
+//	                                 repeat log, control, counts or request until its output or error matches;
+//	                                 "!" expects no match within the duration
+//
+// The names stop and kill belong to testscript: stop ends a script with success, so scripts here must not use it.
+//
+// A target is an instance (its callers' address), an instance with ":operator", an upstream, "platform" or "control".
+// Each script gets free ports, settings for the stand-in (standin.json) and for seven instances (NAME.json), and its
+// addresses as environment variables such as CONTROL, PLATFORM, OSREDNJA_1, OSREDNJA_1_OPERATOR and PREGLED_1.
+package scenario
--- /dev/null
+++ b/internal/scenario/scenario_test.go
@@ -0,0 +1,112 @@
+//go:build linux
+
+package scenario_test
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/stretchr/testify/require"
+)
+
+// programs is the directory that holds the programs of this module.
+var programs string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "scenario")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	programs = directory
+	build := exec.Command("go", "build", "-o", directory, "bluebellhold/cmd/...")
+	build.Stdout, build.Stderr = os.Stderr, os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	return m.Run()
+}
+
+func params(started func(*world)) testscript.Params {
+	return testscript.Params{
+		RequireExplicitExec: true,
+		RequireUniqueNames:  true,
+		Cmds:                commands(),
+		Setup: func(env *testscript.Env) error {
+			w, err := newWorld(env)
+			if err != nil {
+				return err
+			}
+			env.Values[worldKey{}] = w
+			env.Defer(w.endAll)
+			started(w)
+			return nil
+		},
+	}
+}
+
+// Guards against testscript's own command stop, which ends a script early and reports success.
+func TestNoScriptStopsEarly(t *testing.T) {
+	scripts, err := filepath.Glob("testdata/*.txtar")
+	require.NoError(t, err)
+	require.NotEmpty(t, scripts)
+	for _, script := range scripts {
+		text, err := os.ReadFile(script)
+		require.NoError(t, err)
+		require.NotRegexp(t, `(?m)^\s*(\[.*\]\s*)?stop\b`, string(text), script)
+	}
+}
+
+func TestScenarios(t *testing.T) {
+	p := params(func(*world) {})
+	p.Dir = "testdata"
+	testscript.Run(t, p)
+}
+
+// silent is a testscript.T that notes a failure without failing the test around it.
+type silent struct {
+	t      *testing.T
+	failed bool
+}
+
+type failure struct{}
+
+func (s *silent) Skip(...any)   { panic(failure{}) }
+func (s *silent) Fatal(...any)  { s.FailNow() }
+func (s *silent) Parallel()     {}
+func (s *silent) Log(...any)    {}
+func (s *silent) Verbose() bool { return false }
+func (s *silent) FailNow()      { s.failed = true; panic(failure{}) }
+
+func (s *silent) Run(_ string, run func(testscript.T)) {
+	defer func() {
+		if r := recover(); r != nil {
+			require.IsType(s.t, failure{}, r)
+		}
+	}()
+	run(s)
+}
+
+// Guards against processes, also frozen ones, that outlive a failed script.
+func TestFailedScriptEndsItsProcesses(t *testing.T) {
+	script := filepath.Join(t.TempDir(), "failing.txtar")
+	require.NoError(t, os.WriteFile(script, []byte("start a standin\nstart b standin\nfreeze b\ncrash missing\n"), 0o600))
+	var started *world
+	p := params(func(w *world) { started = w })
+	p.Files = []string{script}
+	outer := &silent{t: t}
+	testscript.RunT(outer, p)
+	require.True(t, outer.failed)
+	require.Len(t, started.processes, 2)
+	for _, process := range started.processes {
+		require.ErrorIs(t, syscall.Kill(process.command.Process.Pid, 0), syscall.ESRCH)
+	}
+}
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -150,6 +150,21 @@
 	require.Equal(t, int64(1), counts(server).Late)
 }
 
+// Guards against a cold upstream that is as fast as a warm one or that requests do not warm.
+func TestColdStart(t *testing.T) {
+	server, err := standin.Start(standin.Config{Services: map[id.Service][]standin.Upstream{
+		"draws": {{Name: "draws-1", Region: "osrednja", Slots: 1, Time: 1, Cold: 3600000, Factor: 3600000, Warm: 1}},
+	}})
+	require.NoError(t, err)
+	defer func() { require.NoError(t, server.Close()) }()
+	address := server.Upstreams()[0].Address
+	for _, want := range []int{http.StatusGatewayTimeout, http.StatusOK} {
+		status, _, _, err := send(context.Background(), address, "Request-Timeout", "2000")
+		require.NoError(t, err)
+		require.Equal(t, want, status)
+	}
+}
+
 // Guards against load reports that cannot lag or lie, which would hide a chooser that trusts them.
 func TestLoadReports(t *testing.T) {
 	server, address := start(t, 4)
