Add daemon settings

An instance has no disk state, so everything it needs to start is in one settings file. A wrong setting must be found before the instance joins the fleet: every field is checked, including that secret files and certificates load, and all wrong fields are reported together with path, value and what is allowed. The contents of secret files print as a fixed text in every format.

The collector of wrong fields moves from note to internal/strict, because notes and settings report them alike.

--- /dev/null
+++ b/internal/settings/error.go
@@ -0,0 +1,47 @@
+package settings
+
+import (
+	"strings"
+
+	"bluebellhold/note"
+)
+
+// InvalidError reports all wrong fields of a settings file.
+type InvalidError struct {
+	File   string
+	Fields []*note.FieldError
+}
+
+// Error lists the wrong fields.
+func (e *InvalidError) Error() string {
+	texts := make([]string, 0, len(e.Fields))
+	for _, f := range e.Fields {
+		texts = append(texts, f.Error())
+	}
+	return "settings: " + e.File + ": " + strings.Join(texts, "; ")
+}
+
+// Unwrap returns the fields' errors.
+func (e *InvalidError) Unwrap() []error {
+	out := make([]error, 0, len(e.Fields))
+	for _, f := range e.Fields {
+		out = append(out, f)
+	}
+	return out
+}
+
+// ReadError reports a settings file that cannot be read.
+type ReadError struct {
+	File  string
+	Cause error
+}
+
+// Error names the file and the cause.
+func (e *ReadError) Error() string {
+	return "settings: " + e.File + " cannot be read: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ReadError) Unwrap() error {
+	return e.Cause
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,85 @@
+package settings_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhold/internal/settings"
+)
+
+const valid = `{"name":"osrednja-1","region":"osrednja","datacentre":"lj1",
+ "caller":"127.0.0.1:8001","peer":"127.0.0.1:8002","operator":"127.0.0.1:8003",
+ "platform":"http://127.0.0.1:9000","secret":"secret","token":"token","log":"warn","limits":{"queue":7}}`
+
+func load(t *testing.T, body string) (settings.Settings, error) {
+	folder := t.TempDir()
+	for name, content := range map[string]string{
+		"settings.json": body, "secret": "the-peers-own-secret\n", "token": "the-operators-token\n", "short": "x",
+	} {
+		require.NoError(t, os.WriteFile(filepath.Join(folder, name), []byte(content), 0o600))
+	}
+	return settings.Load(filepath.Join(folder, "settings.json"))
+}
+
+// Guards against lost defaults and against secrets that appear when the settings are printed or logged.
+func TestLoadFillsDefaultsAndHidesSecrets(t *testing.T) {
+	s, err := load(t, valid)
+	require.NoError(t, err)
+	require.Equal(t, settings.Limits{Body: settings.DefaultBody, Header: settings.DefaultHeader, Queue: 7}, s.Limits)
+	require.Equal(t, "the-peers-own-secret", string(s.PeerSecret.Bytes()))
+	require.True(t, s.OperatorToken.Equal([]byte("the-operators-token")))
+	require.False(t, s.OperatorToken.Equal(nil))
+	require.False(t, settings.Secret{}.Equal(nil))
+	for _, shown := range []any{s, &s, s.PeerSecret, []settings.Secret{s.PeerSecret}} {
+		body, err := json.Marshal(shown)
+		require.NoError(t, err)
+		text := string(body) + fmt.Sprintf("%v %+v %#v %s %x %d %q", shown, shown, shown, shown, shown, shown, shown)
+		require.NotContains(t, text, "peers-own")
+		require.NotContains(t, text, fmt.Sprintf("%x", "peers-own"))
+		require.NotContains(t, text, "112 101 101 114", "decimal bytes of the secret")
+	}
+}
+
+// Guards against a wrong setting that is accepted, or blamed on another field.
+func TestLoadNamesEachWrongField(t *testing.T) {
+	for _, c := range []struct{ old, replacement, paths string }{
+		{`"name":"osrednja-1"`, `"name":"a/b"`, "name"},
+		{`"region":"osrednja",`, ``, "region"},
+		{`127.0.0.1:8001`, `localhost:8001`, "caller"},
+		{`127.0.0.1:8001`, `127.0.0.1:0`, "caller"},
+		{`127.0.0.1:8002`, `127.0.0.1:8001`, "peer"},
+		{`http://127.0.0.1:9000`, `ftp://127.0.0.1:9000`, "platform"},
+		{`http://127.0.0.1:9000`, `http://platform:9000`, "platform"},
+		{`"secret":"secret"`, `"secret":"none"`, "secret"},
+		{`"token":"token"`, `"token":"short"`, "token"},
+		{`"warn"`, `"loud"`, "log"},
+		{`"queue":7`, `"queue":0,"body":-1,"colour":1`, "limits.body limits.colour limits.queue"},
+		{`"log"`, `"tls":{"caller":{"cert":"token","key":"token"},"peer":{"cert":"none"}},"log"`, "tls.caller tls.peer.ca tls.peer.cert tls.peer.key"},
+		{`"log"`, `"testing":1,"log"`, "testing"},
+		{`"log"`, `"Log":"x","log"`, "Log"},
+		{`{"name"`, `"name"`, ""},
+	} {
+		body := strings.Replace(valid, c.old, c.replacement, 1)
+		require.NotEqual(t, valid, body, c.old)
+		_, err := load(t, body)
+		var invalid *settings.InvalidError
+		require.True(t, errors.As(err, &invalid), "%s: %v", c.replacement, err)
+		var paths []string
+		for _, f := range invalid.Fields {
+			require.NotEmpty(t, f.Value)
+			require.NotEmpty(t, f.Allowed)
+			paths = append(paths, f.Path)
+		}
+		require.Equal(t, c.paths, strings.Join(paths, " "), c.replacement)
+	}
+	_, err := settings.Load(filepath.Join(t.TempDir(), "absent"))
+	var unreadable *settings.ReadError
+	require.ErrorAs(t, err, &unreadable)
+}
--- a/note/apply.go
+++ b/note/apply.go
@@ -99,19 +99,19 @@
 func (a *application) existing(at, section, name string, exists bool) bool {
 	entry := section + "." + name
 	if _, ok := a.touched[entry]; ok {
-		a.report(at, quote(name), "each name once in change and withdraw")
+		a.Report(at, quote(name), "each name once in change and withdraw")
 		return false
 	}
 	a.touched[entry] = at
 	if !exists {
-		a.report(at, quote(name)+", which does not exist", "a name that exists")
+		a.Report(at, quote(name)+", which does not exist", "a name that exists")
 	}
 	return exists
 }
 
 func (a *application) absent(at, section, name string, exists bool) bool {
 	if exists {
-		a.report(at, quote(name)+", which exists", "a name that does not exist yet")
+		a.Report(at, quote(name)+", which exists", "a name that does not exist yet")
 		return false
 	}
 	a.touched[section+"."+name] = at
@@ -141,7 +141,7 @@
 	}
 	for service, at := range services {
 		if _, ok := a.after.Services[service]; !ok {
-			a.report(at+string(service), quote(string(service))+", which does not exist", "a service that exists")
+			a.Report(at+string(service), quote(string(service))+", which does not exist", "a service that exists")
 			continue
 		}
 		a.serviceUpstreams(service)
--- a/note/check.go
+++ b/note/check.go
@@ -13,6 +13,9 @@
 // maxName bounds names because they become parts of row names, URL paths and log lines.
 const maxName = 64
 
+// NameRule describes the names that notes and settings may use.
+const NameRule = "a name of 1 to 64 letters, digits, '.', '_' or '-' that starts with a letter or digit"
+
 // check reports every wrong value that can be found without a configuration.
 func (n *Note) check(r *reporter) {
 	r.name("id", string(n.ID))
@@ -21,7 +24,7 @@
 	for name, service := range n.Change.Services {
 		if len(service.Upstreams) > 0 {
 			at := "change.services." + string(name) + ".upstreams"
-			r.report(at, "given", "add.upstreams, change.upstreams and withdraw.upstreams, one upstream at a time")
+			r.Report(at, "given", "add.upstreams, change.upstreams and withdraw.upstreams, one upstream at a time")
 		}
 	}
 }
@@ -36,7 +39,7 @@
 		at := r.entry(verb, "keys", string(name))
 		r.name(at+".organisation", string(k.Organisation))
 		if k.Digest == (id.Digest{}) {
-			r.report(at+".digest", "all zeros", "the SHA-256 digest of a secret")
+			r.Report(at+".digest", "all zeros", "the SHA-256 digest of a secret")
 		}
 	}
 	for name, s := range e.Services {
@@ -56,7 +59,7 @@
 		at := r.entry(verb, "links", name)
 		r.pair(at, l.From, l.To)
 		if l.Rate <= 0 {
-			r.report(at+".rate", strconv.FormatInt(int64(l.Rate), 10), "bytes per second above 0")
+			r.Report(at+".rate", strconv.FormatInt(int64(l.Rate), 10), "bytes per second above 0")
 		}
 	}
 	for name, s := range e.Sites {
@@ -77,7 +80,7 @@
 		r.name(at+".service", string(s.Service))
 		r.pair(at, s.From, s.To)
 		if s.Percent < 0 || s.Percent > 100 {
-			r.report(at+".percent", strconv.Itoa(s.Percent), "0 to 100")
+			r.Report(at+".percent", strconv.Itoa(s.Percent), "0 to 100")
 		}
 		r.positive(at+".rate", float64(s.Rate))
 		r.burst(at+".burst", s.Burst)
@@ -95,12 +98,13 @@
 }
 
 func (r *reporter) name(at, name string) {
-	if !validName(name) {
-		r.report(at, quote(name), "a name of 1 to 64 letters, digits, '.', '_' or '-' that starts with a letter or digit")
+	if !ValidName(name) {
+		r.Report(at, quote(name), NameRule)
 	}
 }
 
-func validName(name string) bool {
+// ValidName reports whether name follows the NameRule.
+func ValidName(name string) bool {
 	if name == "" || len(name) > maxName || strings.IndexByte("._-", name[0]) >= 0 {
 		return false
 	}
@@ -115,13 +119,13 @@
 
 func (r *reporter) positive(at string, value float64) {
 	if !(value > 0) || math.IsInf(value, 0) {
-		r.report(at, number(value), "a finite number above 0")
+		r.Report(at, number(value), "a finite number above 0")
 	}
 }
 
 func (r *reporter) burst(at string, burst id.Tokens) {
 	if !(burst >= 1) || math.IsInf(float64(burst), 0) {
-		r.report(at, number(float64(burst)), "a finite number of at least 1")
+		r.Report(at, number(float64(burst)), "a finite number of at least 1")
 	}
 }
 
@@ -129,14 +133,14 @@
 	r.name(at+".from", string(from))
 	r.name(at+".to", string(to))
 	if from == to {
-		r.report(at+".to", quote(string(to)), "a region other than from")
+		r.Report(at+".to", quote(string(to)), "a region other than from")
 	}
 }
 
 func (r *reporter) block(at, block string) {
 	p, err := netip.ParsePrefix(block)
 	if err != nil || p.Masked().String() != block || p.Addr().Is4In6() {
-		r.report(at, quote(block), "a masked prefix in its shortest form, such as 10.1.0.0/16 or 2001:db8::/32")
+		r.Report(at, quote(block), "a masked prefix in its shortest form, such as 10.1.0.0/16 or 2001:db8::/32")
 	}
 }
 
@@ -147,10 +151,10 @@
 		r.name(at+".region", string(u.Region))
 		r.name(at+".datacentre", string(u.DataCentre))
 		if a, err := netip.ParseAddrPort(u.Address); err != nil || a.Port() == 0 {
-			r.report(at+".address", quote(u.Address), "an IP number and a port, such as 10.1.2.3:8080 or [2001:db8::1]:8080")
+			r.Report(at+".address", quote(u.Address), "an IP number and a port, such as 10.1.2.3:8080 or [2001:db8::1]:8080")
 		}
 		if u.Slots < 1 {
-			r.report(at+".slots", strconv.Itoa(int(u.Slots)), "at least 1")
+			r.Report(at+".slots", strconv.Itoa(int(u.Slots)), "at least 1")
 		}
 	}
 }
@@ -162,10 +166,10 @@
 		p := string(route.Path)
 		trimmed := strings.TrimSuffix(p, "/")
 		if !strings.HasPrefix(p, "/") || path.Clean("/"+trimmed) != "/"+strings.TrimPrefix(trimmed, "/") || strings.ContainsAny(p, "?#%\\ ") {
-			r.report(at+".path", quote(p), "a path that starts with a slash and has no '//', '.', '..', '%', '?' or '#'")
+			r.Report(at+".path", quote(p), "a path that starts with a slash and has no '//', '.', '..', '%', '?' or '#'")
 		}
 		if route.Class != "" && route.Class != Small && route.Class != Bulk {
-			r.report(at+".class", quote(string(route.Class)), "small or bulk")
+			r.Report(at+".class", quote(string(route.Class)), "small or bulk")
 		}
 		r.methods(at, trimmed, route.Methods, taken)
 	}
@@ -174,7 +178,7 @@
 // methods reports unknown methods and routes of the same path that share a method, since one would never match.
 func (r *reporter) methods(at, path string, methods []string, taken map[string]bool) {
 	if taken[path+" *"] || (len(methods) == 0 && taken[path]) {
-		r.report(at+".path", quote(path), "one route for each path and method")
+		r.Report(at+".path", quote(path), "one route for each path and method")
 	}
 	taken[path] = true
 	if len(methods) == 0 {
@@ -183,10 +187,10 @@
 	for i, m := range methods {
 		at := at + ".methods." + strconv.Itoa(i)
 		if m == "" || strings.Trim(m, "ABCDEFGHIJKLMNOPQRSTUVWXYZ") != "" {
-			r.report(at, quote(m), "an HTTP method in capital letters")
+			r.Report(at, quote(m), "an HTTP method in capital letters")
 		}
 		if taken[path+" "+m] {
-			r.report(at, quote(m), "one route for each path and method")
+			r.Report(at, quote(m), "one route for each path and method")
 		}
 		taken[path+" "+m] = true
 	}
--- a/note/encode.go
+++ b/note/encode.go
@@ -39,7 +39,7 @@
 func Decode(body []byte) (Configuration, error) {
 	var c Configuration
 	var r reporter
-	strict.Decode(body, &c, r.report)
+	strict.Decode(body, &c, r.Report)
 	if err := r.err(); err != nil {
 		return Configuration{}, err
 	}
--- a/note/error.go
+++ b/note/error.go
@@ -1,11 +1,11 @@
 package note
 
 import (
-	"slices"
 	"strconv"
 	"strings"
 
 	"bluebellhold/id"
+	"bluebellhold/internal/strict"
 )
 
 // FieldError reports one wrong field.
@@ -82,44 +82,23 @@
 	return out
 }
 
-// reporter collects wrong fields and keeps the first report of a field and of the fields inside it.
-type reporter struct {
-	fields []*FieldError
-	seen   map[string]bool
-}
-
-func (r *reporter) report(path, value, allowed string) {
-	if r.covered(path) {
-		return
-	}
-	if r.seen == nil {
-		r.seen = make(map[string]bool)
-	}
-	r.seen[path] = true
-	r.fields = append(r.fields, &FieldError{Path: path, Value: value, Allowed: allowed})
-}
-
-func (r *reporter) covered(path string) bool {
-	if r.seen[""] {
-		return true
-	}
-	for i := range len(path) {
-		if path[i] == '.' && r.seen[path[:i]] {
-			return true
-		}
+// fieldErrors returns the collected problems as errors in the order of their paths.
+func fieldErrors(c *strict.Collector) []*FieldError {
+	var out []*FieldError
+	for _, p := range c.Problems() {
+		out = append(out, &FieldError{Path: p.Path, Value: p.Value, Allowed: p.Allowed})
 	}
-	return r.seen[path]
+	return out
 }
 
-// sorted returns the reports in the order of their paths, because the checks walk maps.
-func (r *reporter) sorted() []*FieldError {
-	slices.SortStableFunc(r.fields, func(a, b *FieldError) int { return strings.Compare(a.Path, b.Path) })
-	return r.fields
+// reporter collects wrong fields; its methods check single values.
+type reporter struct {
+	strict.Collector
 }
 
 func (r *reporter) err() error {
-	if len(r.fields) == 0 {
-		return nil
+	if fields := fieldErrors(&r.Collector); len(fields) > 0 {
+		return &InvalidError{Fields: fields}
 	}
-	return &InvalidError{Fields: r.sorted()}
+	return nil
 }
--- a/note/note.go
+++ b/note/note.go
@@ -52,7 +52,7 @@
 func Parse(body []byte) (Note, error) {
 	var n Note
 	var r reporter
-	strict.Decode(body, &n, r.report)
+	strict.Decode(body, &n, r.Report)
 	n.check(&r)
 	if err := r.err(); err != nil {
 		return Note{}, err
--- a/note/plan.go
+++ b/note/plan.go
@@ -40,8 +40,8 @@
 	for i := range changes {
 		changes[i].Caution = p.cautions[changes[i].Path]
 	}
-	if len(p.fields) > 0 {
-		return changes, &InfeasibleError{Fields: p.sorted()}
+	if fields := fieldErrors(&p.Collector); len(fields) > 0 {
+		return changes, &InfeasibleError{Fields: fields}
 	}
 	return changes, nil
 }
@@ -109,7 +109,7 @@
 		running, known := p.running(r.service)
 		needed := max(running, 1)
 		if left < needed {
-			p.report(r.path, "leaves "+slots(left)+" of "+string(r.service),
+			p.Report(r.path, "leaves "+slots(left)+" of "+string(r.service),
 				"at least "+slots(needed)+" (measured: "+strconv.Itoa(int(running))+" requests running)")
 			continue
 		}
@@ -169,7 +169,7 @@
 	if !from.Known {
 		p.caution(entry, "the load of "+string(s.Service)+" in "+string(s.From)+" is not known")
 	} else if moved := float64(from.Rate) * float64(s.Percent) / 100; moved > float64(s.Rate) {
-		p.report(path+".rate", number(float64(s.Rate))+" per second",
+		p.Report(path+".rate", number(float64(s.Rate))+" per second",
 			"at least the "+number(moved)+" per second that "+strconv.Itoa(s.Percent)+" percent would move")
 	}
 	spare := float64(p.after.Slots(s.Service)[s.To])
@@ -180,7 +180,7 @@
 	seconds, known := p.seconds(s.Service)
 	needed := float64(s.Rate) * seconds
 	if spare == 0 || needed > spare {
-		p.report(path+".rate", number(float64(s.Rate))+" per second, which takes "+number(needed)+" slots",
+		p.Report(path+".rate", number(float64(s.Rate))+" per second, which takes "+number(needed)+" slots",
 			"a cap that fits the "+number(spare)+" spare slots of "+string(s.Service)+" in "+string(s.To))
 		return needed
 	}
@@ -222,7 +222,7 @@
 		for name, l := range links {
 			for field, region := range map[string]id.Region{"from": l.From, "to": l.To} {
 				if !regions[region] {
-					p.report(verb+".links."+name+"."+field, quote(string(region)), "a region that has upstreams or sites")
+					p.Report(verb+".links."+name+"."+field, quote(string(region)), "a region that has upstreams or sites")
 				}
 			}
 		}
--- a/note/reference.go
+++ b/note/reference.go
@@ -36,14 +36,14 @@
 		if field != "" {
 			at += "." + field
 		}
-		a.report(at, quote(name)+", which does not exist", "one of the configuration's "+kind)
+		a.Report(at, quote(name)+", which does not exist", "one of the configuration's "+kind)
 		return
 	}
 	at, ok := a.touched[target]
 	if !ok {
 		at = entry
 	}
-	a.report(at, quote(name)+", which "+entry+" refers to", "a name that nothing refers to any more")
+	a.Report(at, quote(name)+", which "+entry+" refers to", "a name that nothing refers to any more")
 }
 
 // clash reports two entries that share what must be unique, at the one that the note touches.
@@ -61,7 +61,7 @@
 	if field != "" {
 		at += "." + field
 	}
-	a.report(at, "the same as in "+other, allowed)
+	a.Report(at, "the same as in "+other, allowed)
 }
 
 func (a *application) uniqueUpstreams() {
@@ -122,7 +122,7 @@
 	if !ok {
 		at = entry
 	}
-	a.report(at+"."+field, quote(string(region)), allowed)
+	a.Report(at+"."+field, quote(string(region)), allowed)
 }
 
 // Regions returns the regions that have upstreams or sites.
