Add at-most-once claims with stored answers

A request that may not be repeated must run at most once across all instances, although the table's answers can be lost and holders can be paused or killed.

Book is an I/O-free reducer. It inserts one row per idempotency key before dispatch, groups all concurrent writes into one transaction at a time, and resolves a transaction without a result by reading the rows and comparing the claimant id. Existing rows are never overtaken.

--- /dev/null
+++ b/claim/event.go
@@ -0,0 +1,87 @@
+package claim
+
+import (
+	"time"
+
+	"bluebellhold/id"
+	"bluebellhold/platform"
+)
+
+// Event is something that happened and that Reduce takes into account.
+type Event interface{ event() }
+
+// Wanted asks for the claim of a request; exactly one Decided follows unless Released or Abandoned comes first.
+type Wanted struct {
+	Request      id.Request
+	Organisation id.Organisation
+	Service      id.Service
+	Route        id.Route
+	// Key is the caller's idempotency key.
+	Key string
+	// Digest is the digest of the request's content.
+	Digest id.Digest
+	// Deadline is the caller's deadline.
+	Deadline time.Time
+}
+
+// Finished reports the answer to a request that was won and run.
+type Finished struct {
+	Request id.Request
+	Answer  Answer
+}
+
+// Released gives a claim back because the request was refused before dispatch.
+type Released struct{ Request id.Request }
+
+// Abandoned reports that the outcome of a request that was won is unknown; its row stays as it is.
+//
+// An undecided request has not run, so Abandoned then means the same as Released.
+type Abandoned struct{ Request id.Request }
+
+// TransactionDone reports the result of a Transact effect.
+type TransactionDone struct {
+	ID     uint64
+	Result platform.Result
+	Err    error
+}
+
+// RowsRead reports the result of a ReadRows effect.
+type RowsRead struct {
+	ID   uint64
+	Rows []platform.Row
+	Err  error
+}
+
+// RowsScanned reports the result of a ScanRows effect.
+type RowsScanned struct {
+	ID   uint64
+	Rows []platform.Row
+	Err  error
+}
+
+// ObjectRead reports the result of a ReadObject effect.
+type ObjectRead struct {
+	ID   uint64
+	Body []byte
+	Err  error
+}
+
+// ObjectWritten reports the result of a WriteObject effect.
+type ObjectWritten struct {
+	ID  uint64
+	Err error
+}
+
+// Tick lets time pass; deadlines, retries after failures and scans depend on it.
+type Tick struct{}
+
+func (Wanted) event()          {}
+func (Finished) event()        {}
+func (Released) event()        {}
+func (Abandoned) event()       {}
+func (TransactionDone) event() {}
+func (RowsRead) event()        {}
+func (RowsScanned) event()     {}
+func (ObjectRead) event()      {}
+func (ObjectWritten) event()   {}
+func (Tick) event()            {}
--- /dev/null
+++ b/claim/example_test.go
@@ -0,0 +1,50 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"bluebellhold/claim"
+	"bluebellhold/id"
+	"bluebellhold/platform"
+)
+
+// A shell executes the effects of a Book and reports their results as events. Here the table answers at once.
+func Example() {
+	ctx, now := context.Background(), time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	var table platform.Memory
+	book := claim.New(claim.Config{Instance: "entry-1", Incarnation: 1, Seed: 42})
+
+	var reduce func(e claim.Event)
+	reduce = func(e claim.Event) {
+		for _, effect := range book.Reduce(now, e) {
+			switch effect := effect.(type) {
+			case claim.Transact:
+				result, err := table.Transact(ctx, effect.Transaction)
+				reduce(claim.TransactionDone{ID: effect.ID, Result: result, Err: err})
+			case claim.Decided:
+				fmt.Printf("request %d: %T\n", effect.Request, effect.Outcome)
+			case claim.Settled:
+				fmt.Printf("request %d: settled\n", effect.Request)
+			}
+		}
+	}
+
+	want := claim.Wanted{
+		Organisation: "school", Service: "draw", Route: "/draws", Key: "draw-2026",
+		Digest: id.DigestOf([]byte("the request")), Deadline: now.Add(10 * time.Second),
+	}
+	want.Request = 1
+	reduce(want)
+	want.Request = 2
+	reduce(want)
+	reduce(claim.Finished{Request: 1, Answer: claim.Answer{Status: 201, Body: []byte("drawn")}})
+	want.Request = 3
+	reduce(want)
+	// Output:
+	// request 1: claim.Won
+	// request 2: claim.InProgress
+	// request 1: settled
+	// request 3: claim.Replay
+}
--- /dev/null
+++ b/claim/row.go
@@ -0,0 +1,77 @@
+package claim
+
+import (
+	"encoding/json"
+	"net/url"
+	"time"
+
+	"bluebellhold/id"
+)
+
+const (
+	rowPrefix    = "claim/"
+	objectPrefix = "answer/"
+)
+
+const (
+	stateClaimed = "claimed"
+	stateDone    = "done"
+)
+
+// record is the value of a row.
+type record struct {
+	State    string    `json:"state"`
+	Digest   id.Digest `json:"digest"`
+	Claimant string    `json:"claimant"`
+	// Deadline is the dispatch deadline and Expiry the end of the row's lifetime, both in milliseconds since 1970.
+	Deadline  int64               `json:"deadline"`
+	Expiry    int64               `json:"expiry"`
+	Status    int                 `json:"status,omitempty"`
+	Header    map[string][]string `json:"header,omitempty"`
+	Body      []byte              `json:"body,omitempty"`
+	Truncated bool                `json:"truncated,omitempty"`
+	// Object names the object that holds the body, and Sum is the body's digest.
+	Object string    `json:"object,omitempty"`
+	Sum    id.Digest `json:"sum,omitzero"`
+}
+
+// rowName includes the service, because routes are path prefixes that two services may share.
+func rowName(w Wanted) string {
+	return rowPrefix + url.PathEscape(string(w.Organisation)) + "/" + url.PathEscape(string(w.Service)) + "/" +
+		url.PathEscape(string(w.Route)) + "/" + id.DigestOf([]byte(w.Key)).String()
+}
+
+// objectName depends on the claimant alone, so that the object of a lost holder can be found from its row.
+func objectName(claimant string) string {
+	return objectPrefix + claimant
+}
+
+func (r record) encode() []byte {
+	body, err := json.Marshal(r)
+	if err != nil {
+		// Strings, numbers and byte slices always marshal.
+		panic("claim: " + err.Error())
+	}
+	return body
+}
+
+// decode returns a record that reads as a claim of unknown outcome when value is not a record.
+func decode(value []byte) record {
+	var r record
+	if json.Unmarshal(value, &r) != nil || (r.State != stateClaimed && r.State != stateDone) {
+		return record{State: stateClaimed}
+	}
+	return r
+}
+
+func (r record) answer() Answer {
+	return Answer{Status: r.Status, Header: r.Header, Body: r.Body, Truncated: r.Truncated}
+}
+
+func (r record) known() bool {
+	return r.Claimant != ""
+}
+
+func (r record) expired(now time.Time) bool {
+	return r.known() && now.UnixMilli() > r.Expiry+clearMargin.Milliseconds()
+}
