Add authenticated sessions between instances

Instances exchange heartbeats, loans and epochs with each other and must not take a stranger, a replay or a reflection for a peer.

--- /dev/null
+++ b/internal/peer/certificates.go
@@ -0,0 +1,76 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+
+	"bluebellhold/id"
+)
+
+// exporterLabel names the keying material that binds the handshake to its TLS connection.
+const exporterLabel = "EXPORTER-bluebellhold-peer-1"
+
+// Certificates is what one side of a connection presents and trusts.
+//
+// A certificate names its instance as a DNS name and is valid for both client and server authentication.
+type Certificates struct {
+	Own   tls.Certificate
+	Roots *x509.CertPool
+}
+
+// secure wraps conn in mutual TLS if the node has certificates; peer is empty on the accepting side.
+func (n *Node) secure(ctx context.Context, conn net.Conn, peer id.Instance) (net.Conn, error) {
+	if n.config.Certificates == nil {
+		return conn, nil
+	}
+	certificates, err := n.config.Certificates()
+	if err != nil {
+		return nil, &ConnectionError{Step: "loading certificates", Cause: err}
+	}
+	settings := &tls.Config{
+		MinVersion:             tls.VersionTLS13,
+		Certificates:           []tls.Certificate{certificates.Own},
+		RootCAs:                certificates.Roots,
+		ClientCAs:              certificates.Roots,
+		ClientAuth:             tls.RequireAndVerifyClientCert,
+		ServerName:             string(peer),
+		SessionTicketsDisabled: true,
+	}
+	secured := tls.Server(conn, settings)
+	if peer != "" {
+		secured = tls.Client(conn, settings)
+	}
+	if err := secured.HandshakeContext(ctx); err != nil {
+		return nil, &ConnectionError{Step: "TLS", Cause: err}
+	}
+	return secured, nil
+}
+
+// binding returns the exported keying material of a TLS connection, or nil without TLS.
+func binding(conn net.Conn) ([]byte, error) {
+	secured, ok := conn.(*tls.Conn)
+	if !ok {
+		return nil, nil
+	}
+	state := secured.ConnectionState()
+	material, err := state.ExportKeyingMaterial(exporterLabel, nil, 32)
+	if err != nil {
+		return nil, &ConnectionError{Step: "exporting keying material", Cause: err}
+	}
+	return material, nil
+}
+
+// certified checks that the certificate of a TLS connection names the proven peer.
+func certified(conn net.Conn, peer id.Instance) error {
+	secured, ok := conn.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	leaf := secured.ConnectionState().PeerCertificates[0]
+	if err := leaf.VerifyHostname(string(peer)); err != nil {
+		return &RefusedError{Peer: peer, Reason: "its certificate names another instance"}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/fuzz_test.go
@@ -0,0 +1,49 @@
+package peer
+
+import (
+	"bytes"
+	"io"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"bluebellhold/internal/wire"
+)
+
+// Guards against bytes from a peer that crash the frame reader, make it read beyond a frame or accept an oversized one.
+func FuzzFrame(f *testing.F) {
+	const limit = 64
+	for _, m := range []*wire.Envelope{
+		{},
+		{Payload: &wire.Envelope_Farewell{Farewell: &wire.Farewell{}}},
+		{Payload: &wire.Envelope_LoanReply{LoanReply: &wire.LoanReply{Id: 1, Limit: "rate/a", Amount: 2.5, Term: 3}}},
+	} {
+		framed, err := appendFrame(nil, m, limit)
+		require.NoError(f, err)
+		f.Add(append(framed, framed...))
+	}
+	f.Add([]byte{0, 0, 0, limit + 1})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0})
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		source := bytes.NewReader(stream)
+		reader := frameReader{source: source, limit: limit}
+		for {
+			before := source.Len()
+			var m, again wire.Envelope
+			err := reader.next(&m)
+			if err != nil {
+				if err == io.EOF {
+					require.Zero(t, before, "EOF only between frames")
+				}
+				return
+			}
+			require.LessOrEqual(t, before-source.Len(), prefixSize+limit)
+			framed, err := appendFrame(nil, &m, 2*limit)
+			require.NoError(t, err)
+			copied := frameReader{source: bytes.NewReader(framed), limit: 2 * limit}
+			require.NoError(t, copied.next(&again))
+			require.True(t, proto.Equal(&m, &again))
+		}
+	})
+}
