Add the operators' HTTP API

Operators reach the fleet through any instance, so the API must refuse bad requests before they reach the instance and give truthful outcomes. Each answer is complete before its first byte is written: neither a panic nor a late error leaves a partial answer. Errors are typed; their HTTP status is attached with merry and their body has one stable code. A lost race names the epoch that won and a refused note lists all wrong fields.

GET /configuration leaves out the digests of keys, which must not appear in dumps. The body limit is 32 MiB because a note that adds 310,000 client blocks has about 12 MB.

--- /dev/null
+++ b/internal/operator/error.go
@@ -0,0 +1,210 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"bluebellhold/id"
+	"bluebellhold/note"
+	"bluebellhold/platform"
+)
+
+// ConflictError reports a note that lost to another one; Epoch is the epoch it lost to.
+type ConflictError = note.ConflictError
+
+// Outcome says whether a refused request took effect.
+type Outcome string
+
+// The outcomes of a refused request.
+const (
+	Ran     Outcome = "ran"
+	NotRun  Outcome = "not run"
+	Unknown Outcome = "unknown"
+)
+
+// retryDelay is suggested while the store or an instance is unavailable; it is the interval at which instances poll.
+const retryDelay = 500 * time.Millisecond
+
+// UnavailableError reports that an instance cannot serve a request now.
+type UnavailableError struct {
+	Outcome Outcome
+	After   time.Duration
+	Cause   error
+}
+
+// Error names the cause.
+func (e *UnavailableError) Error() string {
+	if e.Cause == nil {
+		return "operator: unavailable"
+	}
+	return "operator: unavailable: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error {
+	return e.Cause
+}
+
+// NotFoundError reports something that a request names and that does not exist.
+type NotFoundError struct {
+	Kind string
+	Name string
+}
+
+// Error names what is missing.
+func (e *NotFoundError) Error() string {
+	return "operator: " + e.Kind + " " + strconv.Quote(e.Name) + " does not exist"
+}
+
+// TokenError reports a request without the operators' token.
+type TokenError struct{}
+
+// Error describes what is needed.
+func (*TokenError) Error() string {
+	return "operator: the operators' token is needed as \"Authorization: Bearer TOKEN\""
+}
+
+// SizeError reports a body above the limit.
+type SizeError struct {
+	Limit id.Bytes
+}
+
+// Error names the limit.
+func (e *SizeError) Error() string {
+	return "operator: the body is larger than " + strconv.FormatInt(int64(e.Limit), 10) + " bytes"
+}
+
+// BodyError reports a body that could not be read completely.
+type BodyError struct {
+	Cause error
+}
+
+// Error names the cause.
+func (e *BodyError) Error() string {
+	return "operator: the body could not be read: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *BodyError) Unwrap() error {
+	return e.Cause
+}
+
+// MethodError reports a method that a path does not have.
+type MethodError struct {
+	Method string
+}
+
+// Error names the method.
+func (e *MethodError) Error() string {
+	return "operator: method " + strconv.Quote(e.Method) + " is not allowed here"
+}
+
+// PanicError reports a fault in the instance; the details are in its log.
+type PanicError struct{}
+
+// Error points to the log.
+func (*PanicError) Error() string {
+	return "operator: internal fault, see the log of the instance"
+}
+
+// Refusal is the JSON body of a refused request.
+type Refusal struct {
+	Code    string             `json:"code"`
+	Outcome Outcome            `json:"outcome"`
+	After   int64              `json:"after"`
+	Error   string             `json:"error"`
+	Path    string             `json:"path"`
+	Fields  []*note.FieldError `json:"fields,omitempty"`
+	Epoch   *id.Epoch          `json:"epoch,omitempty"`
+}
+
+// withStatus gives an error the HTTP status of its answer.
+func withStatus(err error, status int) error {
+	return merry.Wrap(err, merry.WithHTTPCode(status), merry.NoCaptureStack())
+}
+
+// classify returns the body for err and err with its HTTP status.
+//
+// An error of a type that is not listed keeps the status that merry finds in it, else 500, and its outcome is
+// unknown, because nothing is known about where it arose.
+func classify(err error) (Refusal, error) {
+	var invalid *note.InvalidError
+	var infeasible *note.InfeasibleError
+	var field *note.FieldError
+	switch {
+	case errors.As(err, &invalid):
+		return fieldsRefusal("invalid", err, invalid.Fields), withStatus(err, http.StatusBadRequest)
+	case errors.As(err, &infeasible):
+		return fieldsRefusal("infeasible", err, infeasible.Fields), withStatus(err, http.StatusUnprocessableEntity)
+	case errors.As(err, &field):
+		return fieldsRefusal("invalid", err, []*note.FieldError{field}), withStatus(err, http.StatusBadRequest)
+	}
+	return classifyState(err)
+}
+
+func classifyState(err error) (Refusal, error) {
+	var conflict *ConflictError
+	var unavailable *UnavailableError
+	var absent *NotFoundError
+	var store *platform.UnavailableError
+	switch {
+	case errors.As(err, &conflict):
+		r := refusal("conflict", NotRun, err)
+		r.Epoch = &conflict.Epoch
+		return r, withStatus(err, http.StatusConflict)
+	case errors.As(err, &unavailable):
+		r := refusal("unavailable", unavailable.Outcome, err)
+		if r.Outcome == "" {
+			r.Outcome = Unknown
+		}
+		r.After = unavailable.After.Milliseconds()
+		return r, withStatus(err, http.StatusServiceUnavailable)
+	case errors.As(err, &store):
+		r := refusal("unavailable", Unknown, err)
+		r.After = retryDelay.Milliseconds()
+		return r, withStatus(err, http.StatusServiceUnavailable)
+	case errors.As(err, &absent):
+		return refusal("absent", NotRun, err), withStatus(err, http.StatusNotFound)
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		r := refusal("late", Unknown, err)
+		r.After = retryDelay.Milliseconds()
+		return r, withStatus(err, http.StatusGatewayTimeout)
+	}
+	return classifyRequest(err)
+}
+
+func classifyRequest(err error) (Refusal, error) {
+	var token *TokenError
+	var size *SizeError
+	var body *BodyError
+	var method *MethodError
+	switch {
+	case errors.As(err, &token):
+		return refusal("unauthorised", NotRun, err), withStatus(err, http.StatusUnauthorized)
+	case errors.As(err, &size):
+		return refusal("large", NotRun, err), withStatus(err, http.StatusRequestEntityTooLarge)
+	case errors.As(err, &body):
+		return refusal("unread", NotRun, err), withStatus(err, http.StatusBadRequest)
+	case errors.As(err, &method):
+		return refusal("method", NotRun, err), withStatus(err, http.StatusMethodNotAllowed)
+	}
+	return refusal("internal", Unknown, err), err
+}
+
+func refusal(code string, outcome Outcome, err error) Refusal {
+	return Refusal{Code: code, Outcome: outcome, Error: err.Error()}
+}
+
+func fieldsRefusal(code string, err error, fields []*note.FieldError) Refusal {
+	r := refusal(code, NotRun, err)
+	r.Fields = fields
+	if len(fields) > 0 {
+		r.Path = fields[0].Path
+	}
+	return r
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,218 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/charmbracelet/log"
+	"github.com/gorilla/mux"
+	"github.com/rcrowley/go-metrics"
+
+	"bluebellhold/id"
+	"bluebellhold/internal/settings"
+	"bluebellhold/note"
+)
+
+// Defaults of Config.
+//
+// A note that adds the target's 310,000 client blocks has about 12 MB.
+const (
+	DefaultBody    id.Bytes = 32 << 20
+	DefaultTimeout          = 30 * time.Second
+)
+
+// Config configures the API.
+//
+// Without a token every request is refused. Registry, Log, Body and Timeout are optional.
+type Config struct {
+	Backend  Backend
+	Token    settings.Secret
+	Registry metrics.Registry
+	Log      *log.Logger
+	Body     id.Bytes
+	Timeout  time.Duration
+}
+
+// New returns the handler of the operators' address.
+func New(c Config) http.Handler {
+	if c.Registry == nil {
+		c.Registry = metrics.NewRegistry()
+	}
+	if c.Log == nil {
+		c.Log = log.New(io.Discard)
+	}
+	if c.Body == 0 {
+		c.Body = DefaultBody
+	}
+	if c.Timeout == 0 {
+		c.Timeout = DefaultTimeout
+	}
+	s := &server{Config: c}
+	r := mux.NewRouter()
+	r.Handle("/notes", s.handler(s.propose)).Methods(http.MethodPost)
+	r.Handle("/plan", s.handler(s.plan)).Methods(http.MethodPost)
+	r.Handle("/history", s.handler(s.history)).Methods(http.MethodGet)
+	r.Handle("/status", s.handler(s.status)).Methods(http.MethodGet)
+	r.Handle("/dump", s.handler(s.dump)).Methods(http.MethodGet)
+	r.Handle("/configuration", s.handler(s.configuration)).Methods(http.MethodGet)
+	r.Handle("/lookup", s.handler(s.lookup)).Methods(http.MethodGet)
+	r.Handle("/metrics", s.handler(s.metrics)).Methods(http.MethodGet)
+	r.Handle("/stop", s.handler(s.stop)).Methods(http.MethodPost)
+	r.NotFoundHandler = s.handler(func(r *http.Request) (any, error) {
+		return nil, &NotFoundError{Kind: "path", Name: r.URL.Path}
+	})
+	r.MethodNotAllowedHandler = s.handler(func(r *http.Request) (any, error) {
+		return nil, &MethodError{Method: r.Method}
+	})
+	return r
+}
+
+type server struct {
+	Config
+}
+
+// handler answers with the JSON form of what call returns, or with a refusal.
+//
+// The answer is complete before its first byte is written, so a panic or an error never leaves a partial answer.
+func (s *server) handler(call func(*http.Request) (any, error)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := s.answer(w, r, call)
+		status := http.StatusOK
+		if err != nil {
+			refused, wrapped := classify(err)
+			status = merry.HTTPCode(wrapped)
+			body, _ = json.Marshal(refused)
+			s.Log.Info("operator: request refused", "method", r.Method, "path", r.URL.Path, "status", status, "error", err)
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		w.Header().Set("Cache-Control", "no-store")
+		w.WriteHeader(status)
+		_, _ = w.Write(body)
+	})
+}
+
+func (s *server) answer(w http.ResponseWriter, r *http.Request, call func(*http.Request) (any, error)) (body []byte, err error) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			s.Log.Error("operator: panic", "method", r.Method, "path", r.URL.Path, "fault", fault, "stack", string(debug.Stack()))
+			body, err = nil, &PanicError{}
+		}
+	}()
+	if !s.authorised(r) {
+		return nil, &TokenError{}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), s.Timeout)
+	defer cancel()
+	if deadline, ok := ctx.Deadline(); ok {
+		// Not supported by every ResponseWriter; the server's own read timeout applies then.
+		_ = http.NewResponseController(w).SetReadDeadline(deadline)
+	}
+	r = r.WithContext(ctx)
+	r.Body = http.MaxBytesReader(w, r.Body, int64(s.Body))
+	result, err := call(r)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(result)
+}
+
+func (s *server) authorised(r *http.Request) bool {
+	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	return strings.EqualFold(scheme, "Bearer") && s.Token.Equal([]byte(token))
+}
+
+func (s *server) note(r *http.Request) (note.Note, error) {
+	body, err := io.ReadAll(r.Body)
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return note.Note{}, &SizeError{Limit: id.Bytes(large.Limit)}
+	}
+	if err != nil {
+		return note.Note{}, &BodyError{Cause: err}
+	}
+	return note.Parse(body)
+}
+
+func (s *server) propose(r *http.Request) (any, error) {
+	n, err := s.note(r)
+	if err != nil {
+		return nil, err
+	}
+	return s.Backend.Propose(r.Context(), n)
+}
+
+func (s *server) plan(r *http.Request) (any, error) {
+	n, err := s.note(r)
+	if err != nil {
+		return nil, err
+	}
+	changes, err := s.Backend.Plan(r.Context(), n)
+	if changes == nil {
+		changes = note.Changes{}
+	}
+	return changes, err
+}
+
+func (s *server) history(r *http.Request) (any, error) {
+	return s.Backend.History(r.Context())
+}
+
+func (s *server) status(r *http.Request) (any, error) {
+	return s.Backend.Status(r.Context())
+}
+
+func (s *server) dump(r *http.Request) (any, error) {
+	return s.Backend.Dump(r.Context())
+}
+
+// configuration leaves out the digests of keys, which must not appear outside the store and the instances.
+func (s *server) configuration(r *http.Request) (any, error) {
+	c, err := s.Backend.Configuration(r.Context())
+	if err != nil {
+		return nil, err
+	}
+	type key struct {
+		Organisation id.Organisation `json:"organisation"`
+	}
+	keys := make(map[id.Key]key, len(c.Keys))
+	for name, k := range c.Keys {
+		keys[name] = key{k.Organisation}
+	}
+	return struct {
+		note.Configuration
+		Keys map[id.Key]key `json:"keys,omitempty"`
+	}{c, keys}, nil
+}
+
+func (s *server) lookup(r *http.Request) (any, error) {
+	query := r.URL.Query()
+	for _, name := range []string{"service", "organisation"} {
+		open := name == "organisation" && !query.Has(name)
+		if !open && !note.ValidName(query.Get(name)) {
+			return nil, &note.FieldError{Path: name, Value: strconv.Quote(query.Get(name)), Allowed: note.NameRule}
+		}
+	}
+	address, err := netip.ParseAddr(query.Get("address"))
+	if err != nil {
+		return nil, &note.FieldError{Path: "address", Value: strconv.Quote(query.Get("address")), Allowed: "an IP number"}
+	}
+	return s.Backend.Lookup(r.Context(), id.Service(query.Get("service")), id.Organisation(query.Get("organisation")), address)
+}
+
+func (s *server) metrics(*http.Request) (any, error) {
+	return s.Registry.GetAll(), nil
+}
+
+func (s *server) stop(r *http.Request) (any, error) {
+	return struct{}{}, s.Backend.Stop(r.Context())
+}
--- /dev/null
+++ b/internal/operator/server_test.go
@@ -0,0 +1,178 @@
+package operator_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"bluebellhold/id"
+	"bluebellhold/internal/operator"
+	"bluebellhold/internal/settings"
+	"bluebellhold/note"
+	"bluebellhold/platform"
+)
+
+// backend answers every call with err, after running act.
+type backend struct {
+	err   error
+	act   func()
+	calls []string
+}
+
+func (b *backend) call(name string) error {
+	b.calls = append(b.calls, name)
+	if b.act != nil {
+		b.act()
+	}
+	return b.err
+}
+
+func (b *backend) Propose(_ context.Context, n note.Note) (operator.Accepted, error) {
+	return operator.Accepted{Epoch: 7}, b.call("propose " + string(n.ID))
+}
+
+func (b *backend) Plan(_ context.Context, n note.Note) (note.Changes, error) {
+	return nil, b.call("plan " + string(n.ID))
+}
+
+func (b *backend) History(context.Context) ([]operator.Release, error) {
+	return []operator.Release{{Epoch: 7, Note: "n1"}}, b.call("history")
+}
+
+func (b *backend) Status(context.Context) (operator.Status, error) {
+	return operator.Status{Instance: "a-1", Instances: []operator.Instance{{Status: operator.Live}}}, b.call("status")
+}
+
+func (b *backend) Dump(context.Context) (json.RawMessage, error) {
+	return json.RawMessage(`{"state":1}`), b.call("dump")
+}
+
+func (b *backend) Configuration(context.Context) (note.Configuration, error) {
+	return note.Configuration{Epoch: 7, Keys: map[id.Key]note.Key{"k1": {Organisation: "sola", Digest: id.DigestOf([]byte("x"))}}}, b.call("configuration")
+}
+
+func (b *backend) Lookup(_ context.Context, s id.Service, o id.Organisation, a netip.Addr) (any, error) {
+	return []string{string(s), string(o), a.String()}, b.call("lookup")
+}
+
+func (b *backend) Stop(context.Context) error {
+	return b.call("stop")
+}
+
+const token = "the-operators-token"
+
+func send(t *testing.T, b operator.Backend, method, path, auth, body string) (*httptest.ResponseRecorder, operator.Refusal) {
+	registry := metrics.NewRegistry()
+	metrics.GetOrRegisterCounter("requests", registry).Inc(3)
+	h := operator.New(operator.Config{Backend: b, Token: settings.NewSecret([]byte(token)), Registry: registry, Body: 4096})
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set("Authorization", auth)
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	require.Equal(t, "application/json", w.Header().Get("Content-Type"))
+	var refused operator.Refusal
+	if w.Code != http.StatusOK {
+		require.NoError(t, json.Unmarshal(w.Body.Bytes(), &refused), w.Body.String())
+		require.NotEmpty(t, refused.Code)
+		require.NotEmpty(t, refused.Outcome)
+	}
+	return w, refused
+}
+
+// Guards against paths that call another method of the backend or that need no token.
+func TestPathsReachTheirMethod(t *testing.T) {
+	for _, c := range []struct{ method, path, call, answer string }{
+		{"POST", "/notes", "propose n1", `{"epoch":7}`},
+		{"POST", "/plan", "plan n1", `[]`},
+		{"GET", "/history", "history", `"note":"n1"`},
+		{"GET", "/status", "status", `"status":"live"`},
+		{"GET", "/dump", "dump", `{"state":1}`},
+		{"GET", "/configuration", "configuration", `"keys":{"k1":{"organisation":"sola"}}`},
+		{"GET", "/lookup?service=pregled&organisation=sola&address=10.0.0.1", "lookup", `["pregled","sola","10.0.0.1"]`},
+		{"GET", "/lookup?service=pregled&address=::1", "lookup", `["pregled","","::1"]`},
+		{"GET", "/metrics", "", `{"requests":{"count":3}}`},
+		{"POST", "/stop", "stop", `{}`},
+	} {
+		b := &backend{}
+		w, _ := send(t, b, c.method, c.path, "Bearer "+token, `{"id":"n1"}`)
+		require.Equal(t, http.StatusOK, w.Code, c.path)
+		require.Contains(t, w.Body.String(), c.answer)
+		require.Equal(t, c.call, strings.Join(b.calls, " "))
+		for _, auth := range []string{"", "Bearer", "Bearer ", "Bearer wrong", "Basic " + token, token, "Bearer " + token + " x"} {
+			refusedBackend := &backend{}
+			w, refused := send(t, refusedBackend, c.method, c.path, auth, `{"id":"n1"}`)
+			require.Equal(t, http.StatusUnauthorized, w.Code, "%s with %q", c.path, auth)
+			require.Equal(t, "unauthorised", refused.Code)
+			require.Empty(t, refusedBackend.calls)
+		}
+	}
+}
+
+// Guards against errors that lose their code, their truthful outcome or the epoch and field they name.
+func TestErrorsBecomeBodies(t *testing.T) {
+	field := &note.FieldError{Path: "add.shifts.winter.percent", Value: "140", Allowed: "0 to 100"}
+	for _, c := range []struct {
+		err     error
+		status  int
+		code    string
+		outcome operator.Outcome
+		after   int64
+		path    string
+	}{
+		{&note.InvalidError{Fields: []*note.FieldError{field}}, 400, "invalid", operator.NotRun, 0, field.Path},
+		{field, 400, "invalid", operator.NotRun, 0, field.Path},
+		{&note.InfeasibleError{Fields: []*note.FieldError{field}}, 422, "infeasible", operator.NotRun, 0, field.Path},
+		{&operator.ConflictError{Epoch: 9}, 409, "conflict", operator.NotRun, 0, ""},
+		{&operator.UnavailableError{Outcome: operator.NotRun, After: time.Second}, 503, "unavailable", operator.NotRun, 1000, ""},
+		{&operator.UnavailableError{}, 503, "unavailable", operator.Unknown, 0, ""},
+		{&platform.UnavailableError{Call: "transact"}, 503, "unavailable", operator.Unknown, 500, ""},
+		{&operator.NotFoundError{Kind: "service", Name: "x"}, 404, "absent", operator.NotRun, 0, ""},
+		{context.DeadlineExceeded, 504, "late", operator.Unknown, 500, ""},
+		{merry.Wrap(&operator.ConflictError{Epoch: 9}, merry.PrependMessage("instance")), 409, "conflict", operator.NotRun, 0, ""},
+		{errors.New("other"), 500, "internal", operator.Unknown, 0, ""},
+	} {
+		w, refused := send(t, &backend{err: c.err}, "POST", "/notes", "Bearer "+token, `{"id":"n1"}`)
+		require.Equal(t, c.status, w.Code, "%v", c.err)
+		require.Equal(t, c.code, refused.Code)
+		require.Equal(t, c.outcome, refused.Outcome)
+		require.Equal(t, c.after, refused.After)
+		require.Equal(t, c.path, refused.Path)
+		require.Equal(t, c.code == "conflict", refused.Epoch != nil)
+	}
+}
+
+// Guards against bad requests that reach the backend, and against a panic that ends the process or cuts the answer.
+func TestBadRequestsAreRefused(t *testing.T) {
+	for _, c := range []struct {
+		method, path, body string
+		status             int
+		code               string
+	}{
+		{"POST", "/notes", `{"id":"n1","colour":1}`, 400, "invalid"},
+		{"POST", "/plan", strings.Repeat(" ", 5000), 413, "large"},
+		{"GET", "/lookup?service=pregled&address=x", "", 400, "invalid"},
+		{"GET", "/lookup?service=&address=::1", "", 400, "invalid"},
+		{"GET", "/notes", "", 405, "method"},
+		{"GET", "/none", "", 404, "absent"},
+	} {
+		b := &backend{}
+		w, refused := send(t, b, c.method, c.path, "Bearer "+token, c.body)
+		require.Equal(t, c.status, w.Code, c.path)
+		require.Equal(t, c.code, refused.Code)
+		require.Empty(t, b.calls)
+	}
+	w, refused := send(t, &backend{act: func() { panic("detail of the fault") }}, "GET", "/status", "Bearer "+token, "")
+	require.Equal(t, 500, w.Code)
+	require.Equal(t, operator.Unknown, refused.Outcome)
+	require.NotContains(t, w.Body.String(), "detail")
+}
