Add the operators' tool

Operators change a live fleet with it, often while parts of the fleet fail. Each writing command makes a release note with a random id; a lost answer is resolved by sending the same note to the next instance, and if it stays unknown whether the note was accepted, the tool says so and names the id to repeat. A connection that was never established does not count as unknown.

--- /dev/null
+++ b/internal/tool/error.go
@@ -0,0 +1,131 @@
+package tool
+
+import (
+	"errors"
+	"strings"
+
+	"bluebellhold/id"
+	"bluebellhold/internal/operator"
+	"bluebellhold/internal/settings"
+	"bluebellhold/note"
+)
+
+// UsageError reports wrong arguments; the tool ends with status 2.
+type UsageError struct {
+	Text string
+}
+
+// Error describes the wrong argument.
+func (e *UsageError) Error() string {
+	return e.Text
+}
+
+// FailureError reports a command that was understood and failed; the tool ends with status 1.
+type FailureError struct {
+	Cause error
+}
+
+// Error returns the text of the cause.
+func (e *FailureError) Error() string {
+	return e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *FailureError) Unwrap() error {
+	return e.Cause
+}
+
+// FileError reports a file that cannot be read or holds nothing usable.
+type FileError struct {
+	File  string
+	Cause error
+}
+
+// Error names the file.
+func (e *FileError) Error() string {
+	if e.Cause == nil {
+		return e.File + " holds no certificate in PEM form"
+	}
+	return e.File + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *FileError) Unwrap() error {
+	return e.Cause
+}
+
+// RefusedError is the refusal of an instance.
+type RefusedError struct {
+	Address string
+	Status  int
+	operator.Refusal
+}
+
+// Error gives the code, the outcome and each wrong field on a line of its own.
+func (e *RefusedError) Error() string {
+	text := e.Address + ": " + e.Code + " (" + string(e.Outcome) + ")"
+	if len(e.Fields) == 0 {
+		return text + ": " + e.Refusal.Error
+	}
+	return text + fieldLines(e.Fields)
+}
+
+// describe gives the wrong fields of a local check a line each.
+func describe(err error) string {
+	var inNote *note.InvalidError
+	var inSettings *settings.InvalidError
+	switch {
+	case errors.As(err, &inNote):
+		return "the note is not valid" + fieldLines(inNote.Fields)
+	case errors.As(err, &inSettings):
+		return inSettings.File + " is not valid" + fieldLines(inSettings.Fields)
+	}
+	return err.Error()
+}
+
+func fieldLines(fields []*note.FieldError) string {
+	var lines strings.Builder
+	for _, f := range fields {
+		lines.WriteString("\n  " + f.Error())
+	}
+	return lines.String()
+}
+
+// AnswerError reports an instance that could not be reached, or that gave no complete answer.
+//
+// If Sent is true, it is unknown whether the request took effect, and otherwise it did not.
+type AnswerError struct {
+	Address string
+	Sent    bool
+	Cause   error
+}
+
+// Error names the address.
+func (e *AnswerError) Error() string {
+	if e.Cause == nil {
+		return e.Address + ": the answer is not from an instance"
+	}
+	return e.Address + ": no answer: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *AnswerError) Unwrap() error {
+	return e.Cause
+}
+
+// UnknownError reports a note of which it is unknown whether it was accepted.
+type UnknownError struct {
+	Note   id.Note
+	Advice string
+	Cause  error
+}
+
+// Error names the note and says how to find out.
+func (e *UnknownError) Error() string {
+	return e.Cause.Error() + "\nwhether note " + string(e.Note) + " was accepted is unknown; " + e.Advice
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error {
+	return e.Cause
+}
--- /dev/null
+++ b/internal/tool/read.go
@@ -0,0 +1,117 @@
+package tool
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+
+	"github.com/urfave/cli/v3"
+
+	"bluebellhold/internal/operator"
+	"bluebellhold/internal/settings"
+	"bluebellhold/note"
+)
+
+// get calls a reading path and returns the answer.
+func (t *tool) get(ctx context.Context, cmd *cli.Command, path string, query url.Values) ([]byte, error) {
+	c, err := newClient(cmd)
+	if err != nil {
+		return nil, err
+	}
+	return c.call(ctx, http.MethodGet, path, query, nil)
+}
+
+func (t *tool) plan() *cli.Command {
+	return t.leaf("plan", "FILE", "list what the release note in FILE would change and whether the fleet can carry it", "plan note.json",
+		func(ctx context.Context, cmd *cli.Command) error {
+			n, err := t.readNote(cmd)
+			if err != nil {
+				return err
+			}
+			body, err := json.Marshal(n)
+			if err != nil {
+				return err
+			}
+			c, err := newClient(cmd)
+			if err != nil {
+				return err
+			}
+			answer, err := c.call(ctx, http.MethodPost, "/plan", nil, body)
+			if err != nil {
+				return err
+			}
+			var changes note.Changes
+			return t.show(cmd, answer, &changes, func() error { return t.printChanges(changes) })
+		})
+}
+
+func (t *tool) history() *cli.Command {
+	return t.leaf("history", "", "list the accepted release notes", "history",
+		func(ctx context.Context, cmd *cli.Command) error {
+			answer, err := t.get(ctx, cmd, "/history", nil)
+			if err != nil {
+				return err
+			}
+			var releases []operator.Release
+			return t.show(cmd, answer, &releases, func() error { return t.printHistory(releases) })
+		})
+}
+
+func (t *tool) status() *cli.Command {
+	return t.leaf("status", "", "show the fleet at a glance", "status",
+		func(ctx context.Context, cmd *cli.Command) error {
+			answer, err := t.get(ctx, cmd, "/status", nil)
+			if err != nil {
+				return err
+			}
+			var s operator.Status
+			return t.show(cmd, answer, &s, func() error { return t.printStatus(s) })
+		})
+}
+
+func (t *tool) dump() *cli.Command {
+	return t.leaf("dump", "", "print the state of one instance as JSON, without secrets", "dump --operator 10.1.2.3:8003",
+		func(ctx context.Context, cmd *cli.Command) error {
+			answer, err := t.get(ctx, cmd, "/dump", nil)
+			if err != nil {
+				return err
+			}
+			return t.printJSON(answer)
+		})
+}
+
+func (t *tool) lookup() *cli.Command {
+	return t.leaf("lookup", "SERVICE ADDRESS", "show the look-up response for a caller at an IP number",
+		"lookup pregled 10.1.0.9 --organisation velika-delavnica",
+		func(ctx context.Context, cmd *cli.Command) error {
+			query := url.Values{"service": {cmd.Args().Get(0)}, "address": {cmd.Args().Get(1)}}
+			if organisation := cmd.String("organisation"); organisation != "" {
+				query.Set("organisation", organisation)
+			}
+			answer, err := t.get(ctx, cmd, "/lookup", query)
+			if err != nil {
+				return err
+			}
+			return t.printJSON(answer)
+		},
+		&cli.StringFlag{Name: "organisation", Usage: "`ORGANISATION` of the caller; default: a caller without a key"})
+}
+
+func (t *tool) check() *cli.Command {
+	return t.parent("check", "check files without sending them", "check note note.json",
+		t.leaf("note", "FILE", "check a release note, apart from its references to the configuration", "check note note.json",
+			func(_ context.Context, cmd *cli.Command) error {
+				if _, err := t.readNote(cmd); err != nil {
+					return err
+				}
+				return t.printDone(cmd, cmd.Args().First()+" is valid.")
+			}),
+		t.leaf("settings", "FILE", "check the daemon's settings and the files that they name", "check settings settings.json",
+			func(_ context.Context, cmd *cli.Command) error {
+				if _, err := settings.Load(cmd.Args().First()); err != nil {
+					return err
+				}
+				return t.printDone(cmd, cmd.Args().First()+" is valid.")
+			}))
+}
