Add the choice of upstream by load, reports and own outcomes

An instance has to spread requests with reports that lag, stop or lie, and must keep away from upstreams that die or drain. The chooser compares two random upstreams by own requests per slot and reports discounted by age; bad own outcomes lower an upstream's share whatever it reports. Repeated failures or a death eject it with a doubling back-off, at most a third at once, and health is ignored when more than half are unhealthy. Headroom falls to a floor when reports stop and never rises without one.

--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,372 @@
+package balance_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhold/balance"
+	"bluebellhold/id"
+)
+
+var local = balance.Wish{Regions: []id.Region{"x"}}
+
+func group(count int, slots id.Slots) []balance.Upstream {
+	list := make([]balance.Upstream, count)
+	for i := range list {
+		list[i] = balance.Upstream{ID: id.Upstream(strconv.Itoa(i)), Region: "x", Slots: slots}
+	}
+	return list
+}
+
+// server is a fake upstream: what runs on it, what it reports and how a request on it ends.
+type server struct {
+	running, peak, starts, sheds int
+	report                       func(*server) int
+	outcome                      balance.Outcome
+	took                         time.Duration
+}
+
+// cluster drives choosers against fake upstreams in steps of a millisecond.
+type cluster struct {
+	t        *testing.T
+	now      time.Time
+	step     int
+	slots    int
+	choosers []*balance.Chooser
+	servers  []*server
+	ends     map[int][]func()
+	list     []balance.Upstream
+}
+
+func newCluster(t *testing.T, choosers, servers, slots int) *cluster {
+	c := &cluster{t: t, now: epoch, slots: slots, ends: map[int][]func(){}, list: group(servers, id.Slots(slots))}
+	for range servers {
+		c.servers = append(c.servers, &server{
+			report: func(s *server) int { return s.running }, outcome: balance.Succeeded{}, took: 20 * time.Millisecond,
+		})
+	}
+	for i := range choosers {
+		c.choosers = append(c.choosers, balance.New(balance.Config{Seed: uint64(i)}))
+		c.choosers[i].SetUpstreams(c.now, c.list)
+	}
+	return c
+}
+
+// run starts rate requests per millisecond for a number of steps; reports come each 500 ms and are 500 ms old.
+func (c *cluster) run(steps int, rate float64, reports bool) {
+	due := 0.0
+	for range steps {
+		for _, end := range c.ends[c.step] {
+			end()
+		}
+		delete(c.ends, c.step)
+		if c.step%500 == 0 {
+			c.exchange(reports)
+		}
+		for due += rate; due >= 1; due-- {
+			c.start(c.choosers[c.step%len(c.choosers)])
+		}
+		c.step++
+		c.now = c.now.Add(time.Millisecond)
+	}
+}
+
+func (c *cluster) exchange(reports bool) {
+	for i, s := range c.servers {
+		value := s.report(s)
+		c.ends[c.step+500] = append(c.ends[c.step+500], func() {
+			for _, chooser := range c.choosers {
+				if reports {
+					chooser.Reported(c.now, c.list[i].ID, balance.Load{Running: value, Age: 500 * time.Millisecond})
+				}
+			}
+		})
+	}
+}
+
+func (c *cluster) start(chooser *balance.Chooser) {
+	name, ok := chooser.Choose(c.now, local)
+	if !ok {
+		return
+	}
+	i, _ := strconv.Atoi(string(name))
+	s, outcome, took := c.servers[i], c.servers[i].outcome, c.servers[i].took
+	chooser.Started(c.now, name)
+	s.starts++
+	full := s.running >= c.slots
+	if full {
+		s.sheds++
+		outcome, took = balance.Shed{}, time.Millisecond
+	} else {
+		s.running++
+		s.peak = max(s.peak, s.running)
+	}
+	end := c.step + int(took.Milliseconds())
+	c.ends[end] = append(c.ends[end], func() {
+		if !full {
+			s.running--
+		}
+		chooser.Finished(c.now, name, outcome, took)
+	})
+}
+
+// starts returns the starts on server i and the mean over all servers.
+func (c *cluster) starts(i int) (own, mean float64) {
+	sum := 0
+	for _, s := range c.servers {
+		sum += s.starts
+	}
+	return float64(c.servers[i].starts), float64(sum) / float64(len(c.servers))
+}
+
+func (c *cluster) reset() {
+	for _, s := range c.servers {
+		s.starts, s.sheds, s.peak = 0, 0, 0
+	}
+}
+
+// Guards against herding: choosers that all run to the upstream whose stale report says that it is idle.
+func TestLaggingReportsCauseNoHerd(t *testing.T) {
+	c := newCluster(t, 2, 8, 6)
+	c.run(20_000, 1.4, true) // 28 of 48 slots
+	sheds := 0
+	for i, s := range c.servers {
+		own, mean := c.starts(i)
+		require.InEpsilon(t, mean, own, 0.2)
+		sheds += s.sheds
+	}
+	own, mean := c.starts(0)
+	t.Logf("mean %.0f starts, first %.0f, %d sheds", mean, own, sheds)
+	require.Less(t, float64(sheds), 0.01*mean*8)
+}
+
+// Guards against an upstream that attracts requests because it reports to be idle.
+func TestLyingUpstreamIsUsedLess(t *testing.T) {
+	for _, servers := range []int{2, 8} {
+		for name, outcome := range map[string]balance.Outcome{"sheds": balance.Shed{}, "fails": balance.Failed{}} {
+			c := newCluster(t, 2, servers, 6)
+			c.servers[1].report = func(*server) int { return 0 }
+			c.servers[1].outcome, c.servers[1].took = outcome, time.Millisecond
+			c.run(20_000, 0.15*float64(servers-1), true)
+			own, mean := c.starts(1)
+			t.Logf("%s, %d upstreams: %.0f starts, mean %.0f", name, servers, own, mean)
+			require.Less(t, own, mean/10)
+		}
+	}
+}
+
+// Guards against reports that are not used: an upstream that others keep busy must get less.
+func TestReportedLoadIsAvoided(t *testing.T) {
+	c := newCluster(t, 1, 6, 6)
+	c.servers[0].report = func(s *server) int { return s.running + 3 }
+	c.run(20_000, 0.6, true)
+	own, mean := c.starts(0)
+	require.Less(t, own, mean*3/4)
+}
+
+// Guards against an upstream that appears idle, and draws everything, because its reports alone have stopped.
+func TestSilentUpstreamIsNotPreferred(t *testing.T) {
+	c := balance.New(balance.Config{})
+	c.SetUpstreams(epoch, group(6, 6))
+	now, starts := epoch, 0
+	for tick := range 10_000 {
+		now = now.Add(time.Millisecond)
+		for i := range 6 {
+			if u := id.Upstream(strconv.Itoa(i)); i > 0 || now.Before(epoch.Add(time.Second)) {
+				c.Reported(now, u, balance.Load{Running: 3 + (tick*7+i*5)%3})
+			}
+		}
+		name, _ := c.Choose(now, local)
+		if name == "0" {
+			starts++
+		}
+	}
+	// One that wins each comparison is in a third of the draws of two.
+	require.Less(t, starts, 10_000/4)
+}
+
+// Guards against a choice that depends on reports: without any, requests must still be spread evenly, headroom must
+// fall to the floor and an upstream whose reports alone have stopped must not appear idle.
+func TestReportsStop(t *testing.T) {
+	c := newCluster(t, 1, 6, 6)
+	c.run(3000, 0.9, true)
+	require.Greater(t, c.choosers[0].Headroom(c.now, "x").Spare, 10.0)
+	c.reset()
+	c.run(20_000, 0.9, false)
+	for i := range c.servers {
+		own, mean := c.starts(i)
+		require.InEpsilon(t, mean, own, 0.15)
+	}
+	h := c.choosers[0].Headroom(c.now, "x")
+	require.Equal(t, 6, h.Stale)
+	require.InDelta(t, 0.1*36, h.Spare, 0.1)
+}
+
+// Guards against an ejection of everything when most upstreams fail, which would leave none to choose.
+func TestPanicIgnoresHealth(t *testing.T) {
+	c := newCluster(t, 1, 9, 6)
+	for _, s := range c.servers[:5] {
+		s.outcome = balance.Died{}
+	}
+	c.run(1000, 2, true)
+	d := c.choosers[0].Dump()
+	require.True(t, d.Panic)
+	c.reset()
+	c.run(1000, 1, true)
+	for i := range c.servers {
+		own, mean := c.starts(i)
+		require.Greater(t, own, mean/3)
+	}
+	for _, s := range c.servers {
+		s.outcome = balance.Succeeded{}
+	}
+	c.run(60_000, 0.5, true)
+	require.False(t, c.choosers[0].Dump().Panic)
+}
+
+// Guards against a dying upstream that keeps getting requests because it reports to be healthy: its back-off grows.
+func TestDyingUpstreamIsEjectedForLonger(t *testing.T) {
+	c := balance.New(balance.Config{})
+	c.SetUpstreams(epoch, group(6, 6))
+	now, last := epoch, time.Duration(0)
+	for range 6 {
+		c.Reported(now, "2", balance.Load{Running: 0})
+		for c.Running("2") < 3 {
+			name, _ := c.Choose(now, balance.Wish{Regions: local.Regions, Exclude: []id.Upstream{"0", "1", "3", "4", "5"}})
+			require.Equal(t, id.Upstream("2"), name)
+			c.Started(now, name)
+		}
+		for range 3 {
+			c.Finished(now, "2", balance.Died{}, time.Second)
+		}
+		h := c.Health("2")
+		require.True(t, h.Ejected)
+		backoff := h.Until.Sub(now)
+		require.Greater(t, backoff, last*3/2, "requests that one death ends together count once")
+		_, ok := c.Choose(h.Until.Add(-1), balance.Wish{Regions: local.Regions, Exclude: []id.Upstream{"0", "1", "3", "4", "5"}})
+		require.False(t, ok)
+		now, last = h.Until, backoff
+		c.Choose(now, local)
+		require.Equal(t, now.Add(10*time.Second), c.Dump().Upstreams[2].Warm, "it was restarted, so it is cold")
+	}
+	require.Greater(t, last, 30*time.Second)
+}
+
+// Guards against the full load at once on an upstream whose caches are cold.
+func TestColdUpstreamStartsSlowly(t *testing.T) {
+	c := newCluster(t, 2, 8, 6)
+	c.run(2000, 1, true)
+	c.servers = append(c.servers, &server{report: func(s *server) int { return s.running }, outcome: balance.Succeeded{}, took: 20 * time.Millisecond})
+	c.list = group(9, 6)
+	for _, chooser := range c.choosers {
+		chooser.SetUpstreams(c.now, c.list)
+	}
+	var shares []float64
+	for range 4 {
+		c.reset()
+		c.run(4000, 1, true)
+		own, mean := c.starts(8)
+		shares = append(shares, own/mean)
+	}
+	t.Logf("shares of the cold upstream in 4 s each: %.2f", shares)
+	require.Less(t, shares[0], 0.5)
+	require.Less(t, shares[0], shares[1])
+	require.Less(t, shares[1], shares[2])
+	require.InDelta(t, 1, shares[3], 0.15)
+}
+
+// Guards against new work on a draining upstream, and against the loss of count of what still runs on it.
+func TestDrainingUpstreamGetsNoNewWork(t *testing.T) {
+	c := newCluster(t, 2, 6, 6)
+	c.run(1000, 1.2, true)
+	for i := range 2 {
+		c.list[i].Draining = true
+	}
+	for _, chooser := range c.choosers {
+		chooser.SetUpstreams(c.now, c.list)
+	}
+	require.NotZero(t, c.servers[0].running)
+	c.reset()
+	c.run(5000, 1, true)
+	require.Zero(t, c.servers[0].starts+c.servers[1].starts)
+	require.Zero(t, c.choosers[0].Running("0")+c.choosers[1].Running("0"))
+}
+
+// Guards against many probes: each costs the upstream 6 ms.
+func TestProbesAreFew(t *testing.T) {
+	c := balance.New(balance.Config{})
+	c.SetUpstreams(epoch, group(6, 6))
+	probes := map[id.Upstream]int{}
+	for second := range 300 {
+		now := epoch.Add(time.Duration(second) * time.Second)
+		c.Started(now, "0")
+		c.Finished(now, "0", balance.Succeeded{}, time.Millisecond)
+		for _, u := range c.ProbeDue(now) {
+			probes[u]++
+			c.Probed(now, u, balance.Succeeded{})
+		}
+	}
+	require.Zero(t, probes["0"])
+	for _, u := range []id.Upstream{"1", "2", "3", "4", "5"} {
+		require.InDelta(t, 9, probes[u], 1)
+	}
+}
+
+func loaded(upstreams int) func() {
+	c := balance.New(balance.Config{})
+	c.SetUpstreams(epoch, group(upstreams, 6))
+	for i := range upstreams {
+		c.Reported(epoch, id.Upstream(strconv.Itoa(i)), balance.Load{Running: i % 6})
+	}
+	now := epoch
+	return func() {
+		now = now.Add(time.Microsecond)
+		name, _ := c.Choose(now, local)
+		c.Started(now, name)
+		c.Finished(now, name, balance.Succeeded{}, time.Millisecond)
+	}
+}
+
+// Guards against allocations for each choice.
+func TestChooseDoesNotAllocate(t *testing.T) {
+	require.Zero(t, testing.AllocsPerRun(1000, loaded(36)))
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, upstreams := range []int{14, 5200} {
+		b.Run(strconv.Itoa(upstreams), func(b *testing.B) {
+			step := loaded(upstreams)
+			b.ReportAllocs()
+			for b.Loop() {
+				step()
+			}
+		})
+	}
+}
+
+func ExampleChooser() {
+	c, now := balance.New(balance.Config{Seed: 1}), time.Unix(0, 0)
+	c.SetUpstreams(now, []balance.Upstream{
+		{ID: "darila-1", Region: "osrednja", Slots: 3, Draining: true},
+		{ID: "darila-2", Region: "osrednja", Slots: 3},
+		{ID: "darila-3", Region: "primorska", Slots: 3},
+	})
+	wish := balance.Wish{Regions: []id.Region{"osrednja", "primorska"}}
+	for range 4 {
+		u, _ := c.Choose(now, wish)
+		c.Started(now, u)
+		fmt.Println(u)
+	}
+	c.Finished(now, "darila-2", balance.Succeeded{}, 20*time.Millisecond)
+	fmt.Println(c.Running("darila-2"))
+	// Output:
+	// darila-2
+	// darila-2
+	// darila-2
+	// darila-3
+	// 2
+}
--- /dev/null
+++ b/balance/choose.go
@@ -0,0 +1,140 @@
+package balance
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"bluebellhold/id"
+)
+
+const (
+	// redraws bounds how often a draw is repeated because the upstream is cold or had bad outcomes.
+	redraws = 3
+
+	// leastShare keeps a trickle of requests on an upstream with bad outcomes, so that its recovery is noticed.
+	leastShare = 0.02
+)
+
+// Wish says what a request needs.
+type Wish struct {
+	// Regions are the allowed regions in order of preference; a later one is used only if no upstream of an earlier
+	// one may get a request.
+	Regions []id.Region
+	// Exclude lists upstreams that are not to be used, for example because the request was shed there.
+	Exclude []id.Upstream
+	// Alone demands an upstream on which this instance runs nothing, and on which it runs nothing else until the
+	// request has finished.
+	Alone bool
+}
+
+// Choose returns the upstream for a request or false if none may get it.
+//
+// The caller calls Started directly afterwards, before the next call of Choose, if it sends the request.
+func (c *Chooser) Choose(now time.Time, w Wish) (id.Upstream, bool) {
+	c.expire(now)
+	c.alone = nil
+	for _, name := range w.Regions {
+		r := c.regions[name]
+		if r == nil {
+			continue
+		}
+		if u := c.chooseIn(now, r, w); u != nil {
+			if w.Alone {
+				c.alone = u
+			}
+			return u.ID, true
+		}
+	}
+	return "", false
+}
+
+func (c *Chooser) chooseIn(now time.Time, r *region, w Wish) *upstream {
+	candidates := r.members[:r.ends[busy]]
+	if w.Alone {
+		candidates = r.members[:r.ends[idle]]
+	}
+	a := c.draw(now, candidates, w.Exclude, nil)
+	if a == nil {
+		return nil
+	}
+	b := c.draw(now, candidates, w.Exclude, a)
+	if b == nil || c.cost(now, a) <= c.cost(now, b) {
+		return a
+	}
+	return b
+}
+
+// draw returns a random candidate, preferring those with a full share.
+func (c *Chooser) draw(now time.Time, candidates []*upstream, exclude []id.Upstream, other *upstream) *upstream {
+	var u *upstream
+	for range redraws {
+		u = c.pick(candidates, exclude, other)
+		if u == nil || c.panicking {
+			return u
+		}
+		if share := c.share(now, u); share >= 1 || c.random.Float64() < share {
+			return u
+		}
+	}
+	return u
+}
+
+// pick returns a random candidate that is not excluded, or the next one after it.
+func (c *Chooser) pick(candidates []*upstream, exclude []id.Upstream, other *upstream) *upstream {
+	if len(candidates) == 0 {
+		return nil
+	}
+	start := c.random.IntN(len(candidates))
+	for i := range min(len(candidates), len(exclude)+2) {
+		u := candidates[(start+i)%len(candidates)]
+		if u != other && !slices.Contains(exclude, u.ID) {
+			return u
+		}
+	}
+	return nil
+}
+
+// share is the part of the usual draws that u gets: less while it is cold and less after bad outcomes.
+func (c *Chooser) share(now time.Time, u *upstream) float64 {
+	return c.warmth(now, u) * c.confidence(now, u)
+}
+
+// warmth rises linearly during the slow start.
+func (c *Chooser) warmth(now time.Time, u *upstream) float64 {
+	left := u.warm.Sub(now)
+	if left <= 0 {
+		return 1
+	}
+	return max(leastShare, 1-float64(left)/float64(c.config.SlowStart))
+}
+
+// confidence falls with the square of the part of outcomes that were good.
+func (c *Chooser) confidence(now time.Time, u *upstream) float64 {
+	good := 1 - u.health.trouble(now, c.config.Recovery)
+	return max(leastShare, good*good)
+}
+
+// cost compares upstreams: requests per slot, counting the new one, and more after bad outcomes.
+func (c *Chooser) cost(now time.Time, u *upstream) float64 {
+	load := (float64(u.running)+1)/float64(max(u.limit(), 1)) + c.others(now, u)
+	if c.panicking {
+		return load
+	}
+	return load / c.confidence(now, u)
+}
+
+// others estimates what others run on u per slot. With the age of the report it tends to the mean of the region, so
+// that an upstream does not appear idle because its reports have stopped.
+func (c *Chooser) others(now time.Time, u *upstream) float64 {
+	mean := u.region.load / float64(len(u.region.members))
+	return mean + (u.load.perSlot-mean)*decay(now.Sub(u.load.at), c.config.HalfLife)
+}
+
+// decay returns the factor that is one half after each half-life.
+func decay(age, halfLife time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp2(-float64(age) / float64(halfLife))
+}
--- /dev/null
+++ b/balance/chooser.go
@@ -0,0 +1,178 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"bluebellhold/id"
+)
+
+// Config sets the policy of a Chooser; zero fields have usable defaults.
+type Config struct {
+	Seed uint64
+	// SlowStart is how long the share of a new or returning upstream rises to its full value, 10 s by default.
+	SlowStart time.Duration
+	// Panic is the part of the upstreams above which, if that many appear unhealthy, health is ignored; 0.5 by default.
+	Panic float64
+	// HalfLife is the age at which a load report counts half, 1 s by default.
+	HalfLife time.Duration
+	// Recovery is the time in which the share of bad outcomes held against an upstream halves, 5 s by default.
+	Recovery time.Duration
+	// Floor is the part of an upstream's slots that Headroom assumes to be spare when no report says more, 0.1 by
+	// default.
+	Floor float64
+	// Failures is the number of failures in a row for which an upstream is ejected, 5 by default.
+	Failures int
+	// Backoff is the length of a first ejection, 1 s by default. It doubles with each further one up to BackoffLimit,
+	// 60 s by default.
+	Backoff      time.Duration
+	BackoffLimit time.Duration
+	// Probe is the time without own outcomes after which an upstream is due for a probe, 30 s by default: a probe costs
+	// an upstream 6 ms, and each instance sends them.
+	Probe time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	setDuration := func(d *time.Duration, value time.Duration) {
+		if *d <= 0 {
+			*d = value
+		}
+	}
+	setDuration(&c.SlowStart, 10*time.Second)
+	setDuration(&c.HalfLife, time.Second)
+	setDuration(&c.Recovery, 5*time.Second)
+	setDuration(&c.Backoff, time.Second)
+	setDuration(&c.BackoffLimit, time.Minute)
+	setDuration(&c.Probe, 30*time.Second)
+	if c.Panic <= 0 {
+		c.Panic = 0.5
+	}
+	if c.Floor <= 0 {
+		c.Floor = 0.1
+	}
+	if c.Failures <= 0 {
+		c.Failures = 5
+	}
+	return c
+}
+
+// Upstream is one server of the service as configured.
+type Upstream struct {
+	ID         id.Upstream
+	Region     id.Region
+	DataCentre id.DataCentre
+	Slots      id.Slots
+	Draining   bool
+}
+
+// Chooser holds what one instance knows about the upstreams of one service.
+type Chooser struct {
+	config    Config
+	random    *rand.Rand
+	upstreams map[id.Upstream]*upstream
+	list      []*upstream // configured upstreams in the order given
+	regions   map[id.Region]*region
+	panicking bool
+	review    time.Time // when the next state of health ends; zero if all are healthy
+	alone     *upstream // chosen by the last call for a request that runs alone
+	probed    int       // where the next search for upstreams to be probed starts
+
+	generation int // counts the calls of SetUpstreams
+}
+
+// New returns a chooser without upstreams.
+func New(c Config) *Chooser {
+	return &Chooser{
+		config:    c.withDefaults(),
+		random:    rand.New(rand.NewPCG(c.Seed, 0)),
+		upstreams: make(map[id.Upstream]*upstream),
+		regions:   make(map[id.Region]*region),
+	}
+}
+
+// upstream is what is known about one upstream.
+type upstream struct {
+	Upstream
+	region  *region
+	index   int // in the region's members
+	removed bool
+	running int
+
+	generation int       // of the last configuration that named it
+	alone      bool      // a request runs that nothing else may run beside
+	warm       time.Time // end of the slow start
+	health     health
+	load       load
+}
+
+// open reports whether the configuration allows new requests.
+func (u *upstream) open() bool {
+	return !u.Draining && !u.removed
+}
+
+// limit is the number of own requests that may run on u.
+func (u *upstream) limit() int {
+	if u.load.slots > 0 {
+		return int(min(u.Slots, u.load.slots))
+	}
+	return int(u.Slots)
+}
+
+// SetUpstreams replaces the configured upstreams.
+//
+// Requests that run on an upstream that is draining or no longer in the list are not affected. Upstreams that are
+// added or end their drain after the first call are cold and start slowly.
+func (c *Chooser) SetUpstreams(now time.Time, list []Upstream) {
+	cold := len(c.upstreams) > 0
+	c.generation++
+	before := c.list
+	c.list = make([]*upstream, 0, len(list))
+	for _, configured := range list {
+		if u, first := c.set(now, configured, cold); first {
+			c.list = append(c.list, u)
+		}
+	}
+	for _, u := range before {
+		if u.generation != c.generation {
+			u.removed, u.health.ejected = true, false
+			c.place(u)
+			c.discard(u)
+		}
+	}
+	c.reviewHealth(now)
+}
+
+// set applies one entry; first is false if the list has named the upstream before.
+func (c *Chooser) set(now time.Time, configured Upstream, cold bool) (u *upstream, first bool) {
+	u = c.upstreams[configured.ID]
+	returns := u == nil || !u.open()
+	if u == nil {
+		u = &upstream{}
+		u.health.outcome = now
+		c.upstreams[configured.ID] = u
+	}
+	first = u.generation != c.generation
+	c.leave(u)
+	u.Upstream, u.generation, u.removed = configured, c.generation, false
+	c.join(u)
+	if cold && returns && u.open() {
+		u.warm = now.Add(c.config.SlowStart)
+	}
+	return u, first
+}
+
+// discard forgets an upstream that is no longer configured and has nothing running.
+func (c *Chooser) discard(u *upstream) {
+	if u.removed && u.running == 0 {
+		c.leave(u)
+		delete(c.upstreams, u.ID)
+	}
+}
+
+// Running returns the number of own requests on an upstream.
+func (c *Chooser) Running(name id.Upstream) int {
+	if u := c.upstreams[name]; u != nil {
+		return u.running
+	}
+	return 0
+}
--- /dev/null
+++ b/balance/model_test.go
@@ -0,0 +1,198 @@
+package balance_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bluebellhold/balance"
+	"bluebellhold/id"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+var outcomes = []balance.Outcome{
+	balance.Succeeded{}, balance.Shed{}, balance.Failed{}, balance.Died{}, balance.Cancelled{},
+}
+
+// model is the naive view of a chooser: what is configured and what runs.
+type model struct {
+	*balance.Chooser
+	now     time.Time
+	list    []balance.Upstream
+	running map[id.Upstream]int
+	alone   map[id.Upstream]bool
+	limit   map[id.Upstream]id.Slots // reported slots
+}
+
+// eligible reports whether a request may be put on u, found from the configuration and the public state.
+func (m *model) eligible(u balance.Upstream, w balance.Wish) bool {
+	limit := u.Slots
+	if m.limit[u.ID] > 0 {
+		limit = min(limit, m.limit[u.ID])
+	}
+	return !u.Draining && !slices.Contains(w.Exclude, u.ID) && !m.alone[u.ID] &&
+		m.running[u.ID] < int(limit) && (!w.Alone || m.running[u.ID] == 0) &&
+		(m.Dump().Panic || !m.Health(u.ID).Ejected)
+}
+
+func (m *model) find(name id.Upstream) (balance.Upstream, bool) {
+	for _, u := range m.list {
+		if u.ID == name {
+			return u, true
+		}
+	}
+	return balance.Upstream{}, false
+}
+
+// firstRegion is the first allowed region with an eligible upstream.
+func (m *model) firstRegion(w balance.Wish) id.Region {
+	for _, r := range w.Regions {
+		for _, u := range m.list {
+			if u.Region == r && m.eligible(u, w) {
+				return r
+			}
+		}
+	}
+	return ""
+}
+
+func (m *model) choose(t *rapid.T) {
+	w := balance.Wish{
+		Regions: rapid.SliceOfNDistinct(rapid.SampledFrom([]id.Region{"x", "y"}), 0, 2, rapid.ID[id.Region]).Draw(t, "regions"),
+		Exclude: rapid.SliceOfN(rapid.SampledFrom(names), 0, 2).Draw(t, "exclude"),
+		Alone:   rapid.IntRange(0, 4).Draw(t, "alone") == 0,
+	}
+	name, ok := m.Choose(m.now, w)
+	want := m.firstRegion(w)
+	require.Equal(t, want != "", ok)
+	if !ok {
+		return
+	}
+	u, found := m.find(name)
+	require.True(t, found)
+	require.Equal(t, want, u.Region)
+	require.True(t, m.eligible(u, w), "%+v", m.Health(name))
+	if rapid.IntRange(0, 9).Draw(t, "abandon") > 0 {
+		m.Started(m.now, name)
+		m.running[name]++
+		m.alone[name] = w.Alone
+	}
+}
+
+func (m *model) check(t *rapid.T) {
+	open, unhealthy, ejected := 0, 0, 0
+	for _, u := range m.list {
+		require.Equal(t, m.running[u.ID], m.Running(u.ID))
+		h := m.Health(u.ID)
+		require.Equal(t, u.Draining, h.Draining)
+		if u.Draining {
+			continue
+		}
+		open++
+		if h.Unhealthy {
+			unhealthy++
+		}
+		if h.Ejected {
+			ejected++
+			require.True(t, h.Unhealthy)
+		}
+	}
+	require.LessOrEqual(t, ejected, open/3)
+	require.Equal(t, min(unhealthy, open/3), ejected, "all that may be ejected are")
+	require.Equal(t, 2*unhealthy > open, m.Dump().Panic)
+	for _, r := range []id.Region{"x", "y"} {
+		before := m.Headroom(m.now, r)
+		most := 0.0
+		for _, u := range m.list {
+			if u.Region == r && !u.Draining {
+				most += max(0, float64(int(u.Slots)-m.running[u.ID]))
+			}
+		}
+		require.LessOrEqual(t, before.Spare, most+1e-9)
+		for _, age := range []time.Duration{time.Second, 10 * time.Second, time.Hour} {
+			after := m.Headroom(m.now.Add(age), r)
+			require.LessOrEqual(t, after.Spare, before.Spare+1e-9, "no rise without a report")
+			before = after
+		}
+	}
+}
+
+var names = []id.Upstream{"a", "b", "c", "d", "e", "f", "g"}
+
+// Guards, on random schedules, against a request on an upstream that is draining, full, excluded, ejected or reserved,
+// against a refusal although one is eligible, against lost counts, against more than a third ejected, and against
+// headroom that rises without a report.
+func TestChooserAgainstModel(t *testing.T) {
+	for range 5 {
+		rapid.Check(t, compareWithModel)
+	}
+}
+
+func compareWithModel(t *rapid.T) {
+	m := &model{
+		Chooser: balance.New(balance.Config{Seed: rapid.Uint64().Draw(t, "seed")}), now: epoch,
+		running: map[id.Upstream]int{}, alone: map[id.Upstream]bool{}, limit: map[id.Upstream]id.Slots{},
+	}
+	finish := func(t *rapid.T) {
+		var candidates []id.Upstream
+		for _, name := range names {
+			if m.running[name] > 0 {
+				candidates = append(candidates, name)
+			}
+		}
+		if len(candidates) == 0 {
+			t.Skip("nothing runs")
+		}
+		name := rapid.SampledFrom(candidates).Draw(t, "upstream")
+		m.running[name]--
+		m.alone[name] = m.alone[name] && m.running[name] > 0
+		m.Finished(m.now, name, rapid.SampledFrom(outcomes).Draw(t, "outcome"), 10*time.Millisecond)
+		if _, found := m.find(name); !found && m.running[name] == 0 {
+			delete(m.limit, name)
+		}
+	}
+	t.Repeat(map[string]func(*rapid.T){
+		"configure": func(t *rapid.T) {
+			m.list = nil
+			for _, name := range names[:rapid.IntRange(0, len(names)).Draw(t, "upstreams")] {
+				m.list = append(m.list, balance.Upstream{
+					ID: name, Region: rapid.SampledFrom([]id.Region{"x", "y"}).Draw(t, "region"),
+					Slots:    id.Slots(rapid.IntRange(1, 4).Draw(t, "slots")),
+					Draining: rapid.IntRange(0, 5).Draw(t, "draining") == 0,
+				})
+			}
+			m.SetUpstreams(m.now, m.list)
+			for _, name := range names {
+				if _, found := m.find(name); !found && m.running[name] == 0 {
+					delete(m.limit, name)
+				}
+			}
+		},
+		"choose": m.choose, "choose again": m.choose, "finish": finish, "finish again": finish,
+		"report": func(t *rapid.T) {
+			u := rapid.SampledFrom(names).Draw(t, "upstream")
+			l := balance.Load{
+				Running: rapid.IntRange(-1, 9).Draw(t, "running"), Slots: id.Slots(rapid.IntRange(0, 4).Draw(t, "slots")),
+			}
+			m.Reported(m.now, u, l)
+			if _, found := m.find(u); found || m.running[u] > 0 {
+				m.limit[u] = l.Slots
+			}
+		},
+		"probe": func(t *rapid.T) {
+			for _, u := range m.ProbeDue(m.now) {
+				require.False(t, m.Health(u).Draining)
+				m.Probed(m.now, u, rapid.SampledFrom(outcomes).Draw(t, "outcome"))
+			}
+		},
+		"time": func(t *rapid.T) {
+			m.now = m.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "step")) * time.Millisecond)
+			m.Choose(m.now, balance.Wish{})
+		},
+		"": m.check,
+	})
+}
