Cover upstreams, shifts and drains in the model test of Apply

The model knew organisations, keys, sites and blocks only, but most rules apply to services and their upstreams: a withdrawn service takes its upstreams along, upstream names are unique across services, and drains and shifts refer to upstreams and regions. The notes are drawn as values over few names, so that valid notes and each kind of wrong reference are frequent.

--- a/note/apply_test.go
+++ b/note/apply_test.go
@@ -3,17 +3,29 @@
 import (
 	"encoding/json"
 	"maps"
+	"reflect"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"bluebellhold/id"
 	"bluebellhold/note"
 )
 
-// model is the configuration as flat JSON trees: section, then name, then value.
+// model is the configuration as flat JSON trees: section, then name, then value. Upstreams are named "service/name".
 type model map[string]map[string]any
 
+func (m model) set(section, name string, value any) {
+	if m[section] == nil {
+		m[section] = map[string]any{}
+	}
+	m[section][name] = value
+}
+
+// modelOf flattens what has the sections of a Configuration, of which Entries are a part.
 func modelOf(t require.TestingT, v any) model {
 	body, err := json.Marshal(v)
 	require.NoError(t, err)
@@ -21,95 +33,194 @@
 	require.NoError(t, json.Unmarshal(body, &raw))
 	out := model{}
 	for section, entries := range raw {
-		if named, ok := entries.(map[string]any); ok {
-			out[section] = named
+		named, ok := entries.(map[string]any)
+		for name, value := range named {
+			switch {
+			case section == "services":
+				upstreams, _ := value.(map[string]any)["upstreams"].(map[string]any)
+				for upstream, u := range upstreams {
+					out.set("upstreams", name+"/"+upstream, u)
+				}
+				delete(value.(map[string]any), "upstreams")
+				out.set(section, name, value)
+			case section == "upstreams":
+				for upstream, u := range value.(map[string]any) {
+					out.set(section, name+"/"+upstream, u)
+				}
+			case ok:
+				out.set(section, name, value)
+			}
 		}
 	}
 	return out
 }
 
 // apply is the naive rule: every name must fit its verb, and every reference of the result must resolve.
-func (m model) apply(n map[string]map[string]any) (model, bool) {
+func (m model) apply(t require.TestingT, n note.Note) (model, bool) {
 	out := model{}
 	for section, entries := range m {
 		out[section] = maps.Clone(entries)
 	}
 	ok := true
-	for _, verb := range []string{"withdraw", "change", "add"} {
-		for section, entries := range n[verb] {
-			if out[section] == nil {
-				out[section] = map[string]any{}
-			}
-			if names, isList := entries.([]any); isList {
-				for _, name := range names {
-					_, exists := out[section][name.(string)]
-					ok = ok && exists
-					delete(out[section], name.(string))
-				}
-				continue
-			}
-			for name, value := range entries.(map[string]any) {
-				_, existed := m[section][name]
-				_, exists := out[section][name]
-				ok = ok && (verb == "add") != existed && (verb == "add") != exists
-				out[section][name] = value
-			}
+	withdraw := func(section, name string) {
+		_, exists := out[section][name]
+		ok = ok && exists
+		delete(out[section], name)
+	}
+	for service, names := range n.Withdraw.Upstreams {
+		for _, name := range names {
+			withdraw("upstreams", string(service)+"/"+string(name))
+		}
+		ok = ok && !slices.Contains(n.Withdraw.Services, service)
+	}
+	for service := range n.Change.Upstreams {
+		ok = ok && !slices.Contains(n.Withdraw.Services, service)
+	}
+	for section, names := range lists(t, n.Withdraw) {
+		for _, name := range names {
+			withdraw(section, name)
+			maps.DeleteFunc(out["upstreams"], func(upstream string, _ any) bool {
+				return section == "services" && strings.HasPrefix(upstream, name+"/")
+			})
+		}
+	}
+	for section, entries := range modelOf(t, n.Change) {
+		for name, value := range entries {
+			_, exists := out[section][name]
+			ok = ok && exists
+			out.set(section, name, value)
+		}
+	}
+	for section, entries := range modelOf(t, n.Add) {
+		for name, value := range entries {
+			_, existed := m[section][name]
+			ok = ok && !existed
+			out.set(section, name, value)
+		}
+	}
+	for service, upstreams := range n.Add.Upstreams {
+		for name := range upstreams {
+			_, twice := n.Add.Services[service].Upstreams[name]
+			ok = ok && !twice
 		}
 	}
 	return out, ok && out.resolves()
 }
 
+// lists returns the names of the sections other than upstreams.
+func lists(t require.TestingT, names note.Names) map[string][]string {
+	names.Upstreams = nil
+	body, err := json.Marshal(names)
+	require.NoError(t, err)
+	var out map[string][]string
+	require.NoError(t, json.Unmarshal(body, &out))
+	return out
+}
+
 func (m model) resolves() bool {
+	get := func(value any, field string) string { return value.(map[string]any)[field].(string) }
+	has := func(section, name string) bool { _, ok := m[section][name]; return ok }
+	owners, regions := map[string]int{}, map[string]bool{}
+	ok := true
+	for name, u := range m["upstreams"] {
+		service, upstream, _ := strings.Cut(name, "/")
+		owners[upstream]++
+		regions[get(u, "region")], regions[service+"/"+get(u, "region")] = true, true
+		ok = ok && owners[upstream] == 1 && has("services", service)
+	}
+	for _, s := range m["sites"] {
+		regions[get(s, "region")] = true
+	}
 	for _, k := range m["keys"] {
-		if _, ok := m["organisations"][k.(map[string]any)["organisation"].(string)]; !ok {
-			return false
-		}
+		ok = ok && has("organisations", get(k, "organisation"))
 	}
 	for _, site := range m["blocks"] {
-		if _, ok := m["sites"][site.(string)]; !ok {
-			return false
-		}
+		ok = ok && has("sites", site.(string))
+	}
+	for _, s := range m["shifts"] {
+		ok = ok && has("services", get(s, "service")) && regions[get(s, "from")] && regions[get(s, "service")+"/"+get(s, "to")]
 	}
-	return true
+	for name, d := range m["drains"] {
+		ok = ok && has("upstreams", get(d, "service")+"/"+name)
+	}
+	return ok
 }
 
-func genNote(t *rapid.T) map[string]map[string]any {
-	values := map[string]func(name string) any{
-		"organisations": func(string) any {
-			return map[string]any{"rate": float64(rapid.IntRange(1, 3).Draw(t, "rate")), "burst": 1.0}
-		},
-		"keys": func(name string) any {
-			digest := map[string]string{"a": digestA, "b": digestB, "c": digestA[:63] + "c"}[name]
-			return map[string]any{"organisation": rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "owner"), "digest": digest}
-		},
-		"sites":  func(string) any { return map[string]any{"region": "r", "datacentre": "d"} },
-		"blocks": func(string) any { return rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "site") },
-	}
-	out := map[string]map[string]any{}
-	for range rapid.IntRange(1, 5).Draw(t, "operations") {
-		verb := rapid.SampledFrom([]string{"add", "add", "change", "withdraw"}).Draw(t, "verb")
-		section := rapid.SampledFrom([]string{"organisations", "keys", "sites", "blocks"}).Draw(t, "section")
-		name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
-		value := values[section](name)
-		if section == "blocks" {
-			name = map[string]string{"a": "10.0.0.0/8", "b": "10.1.0.0/16", "c": "::/0"}[name]
-		}
-		if out[verb] == nil {
-			out[verb] = map[string]any{}
+// genNote draws a note over few names, so that valid notes and each kind of wrong reference are frequent.
+func genNote(t *rapid.T) note.Note {
+	pick := func(label string, from ...string) string { return rapid.SampledFrom(from).Draw(t, label) }
+	upstream := func() note.Upstream {
+		return note.Upstream{Region: id.Region(pick("region", "east", "west")), DataCentre: "d", Address: "127.0.0.1:80", Slots: id.Slots(rapid.IntRange(1, 3).Draw(t, "slots"))}
+	}
+	n := note.Note{ID: "n"}
+	for range rapid.IntRange(1, 6).Draw(t, "operations") {
+		verb := pick("verb", "add", "add", "add", "change", "withdraw")
+		e, w := &n.Add, &n.Withdraw
+		if verb == "change" {
+			e = &n.Change
 		}
+		name := pick("name", "a", "b")
+		service := id.Service(pick("service", "a", "b"))
+		section := pick("section", "organisations", "keys", "services", "services", "upstreams", "upstreams", "sites", "blocks", "shifts", "drains")
 		if verb == "withdraw" {
-			list, _ := out[verb][section].([]any)
-			out[verb][section] = append(list, name)
+			switch section {
+			case "organisations":
+				w.Organisations = append(w.Organisations, id.Organisation(name))
+			case "keys":
+				w.Keys = append(w.Keys, id.Key(name))
+			case "services":
+				w.Services = append(w.Services, service)
+			case "upstreams":
+				put(&w.Upstreams, service, append(w.Upstreams[service], id.Upstream(name)))
+			case "sites":
+				w.Sites = append(w.Sites, id.Site(name))
+			case "blocks":
+				w.Blocks = append(w.Blocks, blocks[name])
+			case "shifts":
+				w.Shifts = append(w.Shifts, id.Shift(name))
+			case "drains":
+				w.Drains = append(w.Drains, id.Upstream(name))
+			}
 			continue
 		}
-		entries, _ := out[verb][section].(map[string]any)
-		if entries == nil {
-			entries = map[string]any{}
-			out[verb][section] = entries
+		switch section {
+		case "organisations":
+			put(&e.Organisations, id.Organisation(name), note.Organisation{Rate: id.TokensPerSecond(rapid.IntRange(1, 3).Draw(t, "rate")), Burst: 1})
+		case "keys":
+			put(&e.Keys, id.Key(name), note.Key{Organisation: id.Organisation(pick("owner", "a", "b")), Digest: id.DigestOf([]byte(name))})
+		case "services":
+			s := note.Service{Routes: []note.Route{{Path: id.Route("/" + pick("path", "x", "y"))}}}
+			if verb == "add" && rapid.Bool().Draw(t, "upstreams") {
+				s.Upstreams = map[id.Upstream]note.Upstream{id.Upstream(name): upstream()}
+			}
+			put(&e.Services, service, s)
+		case "upstreams":
+			if e.Upstreams[service] == nil {
+				put(&e.Upstreams, service, map[id.Upstream]note.Upstream{})
+			}
+			e.Upstreams[service][id.Upstream(name)] = upstream()
+		case "sites":
+			put(&e.Sites, id.Site(name), note.Site{Region: id.Region(pick("region", "east", "west")), DataCentre: "d"})
+		case "blocks":
+			put(&e.Blocks, blocks[name], id.Site(pick("site", "a", "b")))
+		case "shifts":
+			put(&e.Shifts, id.Shift(name), note.Shift{Service: service, From: "west", To: "east", Percent: 1, Rate: 1, Burst: 1})
+		case "drains":
+			put(&e.Drains, id.Upstream(name), note.Drain{Service: service})
 		}
-		entries[name] = value
 	}
-	return out
+	return n
+}
+
+var blocks = map[string]string{"a": "10.0.0.0/8", "b": "::/0"}
+
+// put sets an entry of the map that target points to.
+func put(target, name, value any) {
+	m := reflect.ValueOf(target).Elem()
+	if m.IsNil() {
+		m.Set(reflect.MakeMap(m.Type()))
+	}
+	m.SetMapIndex(reflect.ValueOf(name), reflect.ValueOf(value))
 }
 
 // Guards against an Apply that differs from the naive rules, applies a part of a refused note, or changes its argument.
@@ -118,19 +229,15 @@
 		var c note.Configuration
 		m := model{}
 		for range rapid.IntRange(1, 12).Draw(t, "notes") {
-			raw := genNote(t)
-			body := map[string]any{"id": "n"}
-			for verb, sections := range raw {
-				body[verb] = sections
-			}
-			text, err := json.Marshal(body)
+			n := genNote(t)
+			text, err := json.Marshal(n)
 			require.NoError(t, err)
-			n := mustParse(t, string(text))
+			require.Equal(t, n, mustParse(t, string(text)))
 			before, digest, err := note.Encode(c)
 			require.NoError(t, err)
 
 			next, err := note.Apply(c, n)
-			expected, ok := m.apply(raw)
+			expected, ok := m.apply(t, n)
 			require.Equal(t, ok, err == nil, "%s on %s: %v", text, before, err)
 			_, same, encodeErr := note.Encode(c)
 			require.NoError(t, encodeErr)
