Add allotment, conserved shares of fleet-wide limits

Each limit must hold across all instances although instances fail, pause and lose messages. A ledger holds parts of limits under one lease row, borrows tokens and slots from home instances and keeps spending through a table outage as long as its witness promises not to reclaim.

Every transaction is conditional on the own lease row and rewrites it with a serial number, so lost answers are resolved by that row and a process whose lease was removed cannot write shares.

--- /dev/null
+++ b/allotment/dump.go
@@ -0,0 +1,73 @@
+package allotment
+
+import (
+	"time"
+
+	"bluebellhold/id"
+)
+
+// Dump is the state of a ledger for people, in JSON.
+type Dump struct {
+	Instance    id.Instance    `json:"instance"`
+	Incarnation id.Incarnation `json:"incarnation"`
+	Held        bool           `json:"held"`
+	Until       time.Time      `json:"until"`
+	Witness     id.Instance    `json:"witness"`
+	Unresolved  int            `json:"unresolved"`
+	Released    bool           `json:"released"`
+	Limits      []LimitDump    `json:"limits"`
+}
+
+// LimitDump is the state of one limit.
+//
+// Whole is the burst or the slots that this instance's parts are worth.
+type LimitDump struct {
+	Limit    id.Limit      `json:"limit"`
+	Homes    []id.Instance `json:"homes"`
+	Parts    id.Parts      `json:"parts"`
+	Target   id.Parts      `json:"target"`
+	Whole    id.Tokens     `json:"whole"`
+	Tokens   id.Tokens     `json:"tokens"`
+	Used     id.Tokens     `json:"used"`
+	Lent     id.Tokens     `json:"lent"`
+	Borrowed []LoanDump    `json:"borrowed"`
+	Error    string        `json:"error,omitempty"`
+}
+
+// LoanDump is one borrowed amount.
+type LoanDump struct {
+	Lender   id.Instance `json:"lender"`
+	Amount   id.Tokens   `json:"amount"`
+	Deadline time.Time   `json:"deadline"`
+}
+
+// Dump returns the state of the ledger. Tokens are as of the last use of each limit.
+func (l *Ledger) Dump() Dump {
+	d := Dump{
+		Instance:    l.config.Self.Instance,
+		Incarnation: l.config.Incarnation,
+		Held:        l.lease.held,
+		Until:       l.until,
+		Witness:     l.lease.witness,
+		Unresolved:  len(l.attempts),
+		Released:    l.released,
+	}
+	for _, a := range l.ordered {
+		d.Limits = append(d.Limits, a.dump())
+	}
+	return d
+}
+
+func (a *account) dump() LimitDump {
+	d := LimitDump{
+		Limit: a.limit.ID, Homes: a.homes, Parts: a.confirmed, Target: a.target,
+		Whole: a.capacity, Tokens: a.tokens, Used: a.used, Lent: a.lent,
+	}
+	if a.rowErr != nil {
+		d.Error = a.rowErr.Error()
+	}
+	for _, b := range a.borrowing {
+		d.Borrowed = append(d.Borrowed, LoanDump{Lender: b.lender, Amount: b.left, Deadline: b.deadline})
+	}
+	return d
+}
--- /dev/null
+++ b/allotment/event.go
@@ -0,0 +1,87 @@
+package allotment
+
+import (
+	"time"
+
+	"bluebellhold/id"
+	"bluebellhold/platform"
+)
+
+// Event is an input of Reduce.
+type Event interface {
+	event()
+}
+
+// Tick reports that time has passed; it normally comes every 200 ms.
+type Tick struct{}
+
+// LimitsChanged replaces the set of limits.
+type LimitsChanged struct {
+	Limits []Limit
+}
+
+// MembersChanged replaces the list of members. Until the first one, no limit has home instances.
+type MembersChanged struct {
+	Members []Member
+}
+
+// TransactionDone posts the result of a Transact effect; with an error the outcome is unknown.
+type TransactionDone struct {
+	ID     uint64
+	Result platform.Result
+	Err    error
+}
+
+// RowsRead posts the result of a ReadRows effect.
+//
+// SentAt is informative: the ledger orders reads by the time at which it asked for them, which is never later.
+type RowsRead struct {
+	ID     uint64
+	SentAt time.Time
+	Rows   []platform.Row
+	Err    error
+}
+
+// MessageReceived posts a message from another instance.
+type MessageReceived struct {
+	From    id.Instance
+	Message Message
+}
+
+// StopRequested starts the release of all shares and then of the lease.
+type StopRequested struct{}
+
+func (Tick) event()            {}
+func (LimitsChanged) event()   {}
+func (MembersChanged) event()  {}
+func (TransactionDone) event() {}
+func (RowsRead) event()        {}
+func (MessageReceived) event() {}
+func (StopRequested) event()   {}
+
+// Effect is an output of Reduce and Take that the caller executes.
+type Effect interface {
+	effect()
+}
+
+// Transact asks for a transaction whose result is posted as TransactionDone.
+type Transact struct {
+	ID          uint64
+	Transaction platform.Transaction
+}
+
+// ReadRows asks for rows that are posted as RowsRead.
+type ReadRows struct {
+	ID    uint64
+	Names []string
+}
+
+// Send asks for a message to be sent to another instance.
+type Send struct {
+	To      id.Instance
+	Message Message
+}
+
+func (Transact) effect() {}
+func (ReadRows) effect() {}
+func (Send) effect()     {}
--- /dev/null
+++ b/allotment/home.go
@@ -0,0 +1,123 @@
+package allotment
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bluebellhold/id"
+)
+
+const (
+	// Below 10 tokens per second a share refills too slowly to serve requests on its own.
+	tokensPerHome = 10
+	// A home instance with fewer slots would lend and borrow for most requests.
+	slotsPerHome = 4
+	// maxHolders bounds a share row and is what makes the rounding in slotsOf safe.
+	maxHolders = 64
+	// maxRounded is the largest number of slots for which slotsOf may round in favour of holders.
+	maxRounded = id.Slots(id.WholeLimit) / (maxHolders + 1)
+)
+
+// homeCount returns the size of the home set among live members.
+func homeCount(amount LimitAmount, live int) int {
+	wanted := 1
+	switch amount := amount.(type) {
+	case Rate:
+		// Each home instance needs a burst of at least one token, else it could never spend one.
+		wanted = min(int(min(amount.Rate/tokensPerHome, maxHolders)), int(min(amount.Burst, maxHolders)))
+	case Concurrent:
+		wanted = int(amount.Slots / slotsPerHome)
+	}
+	return min(max(wanted, 1), maxHolders, live)
+}
+
+// chooseHomes ranks the live members by rendezvous hashing and returns the first ones.
+func chooseHomes(limit Limit, members []Member) []id.Instance {
+	live := liveMembers(limit.Region, members)
+	if len(live) == 0 {
+		live = liveMembers("", members)
+	}
+	ranked := rank(string(limit.ID), live)
+	return ranked[:homeCount(limit.Amount, len(ranked))]
+}
+
+func liveMembers(region id.Region, members []Member) []id.Instance {
+	live := make([]id.Instance, 0, len(members))
+	for _, m := range members {
+		if m.Live && (region == "" || m.Region == region) {
+			live = append(live, m.Instance)
+		}
+	}
+	return live
+}
+
+// rank orders instances by their hash with the key, so a change of one instance moves few keys.
+func rank(key string, instances []id.Instance) []id.Instance {
+	type scored struct {
+		instance id.Instance
+		score    uint64
+	}
+	scores := make([]scored, 0, len(instances))
+	for _, instance := range instances {
+		scores = append(scores, scored{instance, xxhash.Sum64String(key + "\x00" + string(instance))})
+	}
+	slices.SortFunc(scores, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.instance, b.instance))
+	})
+	ranked := make([]id.Instance, 0, len(scores))
+	for _, s := range scores {
+		ranked = append(ranked, s.instance)
+	}
+	return ranked
+}
+
+// targetOf returns the parts that self should hold: equal parts, whole slots for a slot limit.
+func targetOf(amount LimitAmount, homes []id.Instance, self id.Instance) id.Parts {
+	place := slices.Index(homes, self)
+	if place < 0 {
+		return 0
+	}
+	switch amount := amount.(type) {
+	case Concurrent:
+		return partsOf(amount.Slots, id.Slots(evenly(int(amount.Slots), len(homes), place)))
+	default:
+		return id.Parts(evenly(int(id.WholeLimit), len(homes), place))
+	}
+}
+
+func evenly(whole, holders, place int) int {
+	share := whole / holders
+	if place < whole%holders {
+		share++
+	}
+	return share
+}
+
+// partsOf returns the fewest parts that are worth count of all slots. Rounding down keeps the sum within a whole.
+func partsOf(all, count id.Slots) id.Parts {
+	if all <= 0 {
+		return 0
+	}
+	parts := id.Parts(count) * id.WholeLimit / id.Parts(all)
+	for slotsOf(all, parts) < count && parts < id.WholeLimit {
+		parts++
+	}
+	return parts
+}
+
+// slotsOf returns the whole slots that parts are worth.
+//
+// One part is added before rounding down because partsOf rounds down: three thirds of three slots are three slots.
+// With at most maxHolders holders this adds less than one slot in total as long as there are at most maxRounded
+// slots, so the sum of whole slots cannot exceed all. Above that, plain rounding loses at most one slot a holder.
+func slotsOf(all id.Slots, parts id.Parts) id.Slots {
+	if all <= 0 || parts <= 0 {
+		return 0
+	}
+	if all <= maxRounded {
+		parts++
+	}
+	return min(all, id.Slots(parts*id.Parts(all)/id.WholeLimit))
+}
--- /dev/null
+++ b/allotment/row.go
@@ -0,0 +1,98 @@
+package allotment
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"bluebellhold/id"
+)
+
+const (
+	sharePrefix = "share/"
+	leasePrefix = "lease/"
+)
+
+// leaseRow is the value of the row lease/<instance>.
+//
+// The deadline is on the holder's clock and informs people only. The serial tells which of the holder's
+// transactions wrote the row.
+type leaseRow struct {
+	Incarnation id.Incarnation `json:"incarnation"`
+	Address     string         `json:"address"`
+	Deadline    time.Time      `json:"deadline"`
+	Witness     id.Instance    `json:"witness"`
+	Serial      uint64         `json:"serial"`
+}
+
+type shareRow map[id.Instance]id.Parts
+
+func shareName(limit id.Limit) string       { return sharePrefix + string(limit) }
+func leaseName(instance id.Instance) string { return leasePrefix + string(instance) }
+
+func limitOf(row string) (id.Limit, bool) {
+	name, ok := strings.CutPrefix(row, sharePrefix)
+	return id.Limit(name), ok
+}
+
+func instanceOf(row string) (id.Instance, bool) {
+	name, ok := strings.CutPrefix(row, leasePrefix)
+	return id.Instance(name), ok
+}
+
+// RowError reports a row whose value has an unexpected format. The ledger leaves such a row alone.
+type RowError struct {
+	Name  string
+	Cause error
+}
+
+// Error names the row and the cause.
+func (e *RowError) Error() string {
+	if e.Cause == nil {
+		return "allotment: row " + e.Name + " holds parts that are negative or sum to more than a whole"
+	}
+	return "allotment: row " + e.Name + " has an unexpected format: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *RowError) Unwrap() error {
+	return e.Cause
+}
+
+func parseLease(name string, value []byte) (leaseRow, error) {
+	var row leaseRow
+	if err := json.Unmarshal(value, &row); err != nil {
+		return leaseRow{}, &RowError{Name: name, Cause: err}
+	}
+	return row, nil
+}
+
+func parseShare(name string, value []byte) (shareRow, error) {
+	row := shareRow{}
+	if len(value) == 0 {
+		return row, nil
+	}
+	if err := json.Unmarshal(value, &row); err != nil {
+		return nil, &RowError{Name: name, Cause: err}
+	}
+	var sum id.Parts
+	for _, parts := range row {
+		if parts < 0 || parts > id.WholeLimit {
+			return nil, &RowError{Name: name}
+		}
+		sum += parts
+	}
+	if sum > id.WholeLimit {
+		return nil, &RowError{Name: name}
+	}
+	return row, nil
+}
+
+// encode returns the JSON of a row type of this package, all of which have an encoding.
+func encode(row any) []byte {
+	value, err := json.Marshal(row)
+	if err != nil {
+		panic("allotment: row has no JSON encoding: " + err.Error())
+	}
+	return value
+}
--- /dev/null
+++ b/allotment/sim_test.go
@@ -0,0 +1,431 @@
+package allotment_test
+
+import (
+	"container/heap"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhold/allotment"
+	"bluebellhold/id"
+	"bluebellhold/platform"
+)
+
+var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// task is something that happens at a point of true time.
+type task struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type tasks []task
+
+func (q tasks) Len() int { return len(q) }
+func (q tasks) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].order < q[j].order
+}
+func (q tasks) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *tasks) Push(x any)   { *q = append(*q, x.(task)) }
+func (q *tasks) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// process is one simulated instance process. Its clock runs off true time by a factor and an offset.
+type process struct {
+	*allotment.Ledger
+	member      allotment.Member
+	incarnation id.Incarnation
+	drift       float64
+	offset      time.Duration
+	dead        bool
+	cut         bool
+	pausedUntil time.Time
+	inbox       []allotment.Event
+	// used counts slots; covered counts those that were taken under the present lease row.
+	used, covered map[id.Limit]int
+	loans         map[string]id.Incarnation
+}
+
+// bucket is the exact oracle of a rate limit: what all instances together may spend.
+type bucket struct {
+	tokens float64
+	at     time.Time
+}
+
+// world simulates ledgers, their messages and the table on one seeded schedule.
+type world struct {
+	t         require.TestingT
+	random    *rand.Rand
+	now       time.Time
+	queue     tasks
+	order     int
+	table     platform.Memory
+	outage    time.Time
+	loss      float64
+	limits    []allotment.Limit
+	processes []*process
+	buckets   map[id.Limit]*bucket
+	config    allotment.Config
+	writes    int
+}
+
+func newWorld(t require.TestingT, seed uint64, config allotment.Config, limits ...allotment.Limit) *world {
+	w := &world{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: epoch, config: config,
+		limits: limits, buckets: map[id.Limit]*bucket{},
+	}
+	for _, limit := range limits {
+		if amount, ok := limit.Amount.(allotment.Rate); ok {
+			w.buckets[limit.ID] = &bucket{tokens: float64(amount.Burst), at: epoch}
+		}
+	}
+	return w
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.order++
+	heap.Push(&w.queue, task{at: w.now.Add(d), order: w.order, run: run})
+}
+
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		next := heap.Pop(&w.queue).(task)
+		w.now = next.at
+		next.run()
+	}
+	w.now = end
+}
+
+func (w *world) chance(p float64) bool { return w.random.Float64() < p }
+
+func (w *world) latency() time.Duration {
+	d := time.Duration(1+w.random.IntN(60)) * time.Millisecond
+	if w.chance(w.loss) {
+		d += time.Duration(w.random.IntN(9000)) * time.Millisecond
+	}
+	return d
+}
+
+func (p *process) clock(now time.Time) time.Time {
+	return epoch.Add(p.offset + time.Duration(float64(now.Sub(epoch))*(1+p.drift)))
+}
+
+// start adds a process. Members of every process are updated a little later, as from a lagging list.
+func (w *world) start(name, address string) *process {
+	regions := []id.Region{"north", "south", "west"}
+	p := &process{
+		member:      allotment.Member{Instance: id.Instance(name), Address: address, Live: true},
+		incarnation: id.Incarnation(w.random.Uint64()),
+		drift:       (w.random.Float64() - 0.5) / 125, // 0.4% either way
+		offset:      time.Duration(w.random.IntN(1e6)) * time.Millisecond,
+		used:        map[id.Limit]int{}, covered: map[id.Limit]int{}, loans: map[string]id.Incarnation{},
+	}
+	p.member.Region = regions[int(name[len(name)-1])%len(regions)]
+	config := w.config
+	config.Self, config.Incarnation, config.Seed = p.member, p.incarnation, w.random.Uint64()
+	p.Ledger = allotment.New(config)
+	w.processes = append(w.processes, p)
+	w.post(p, allotment.LimitsChanged{Limits: w.limits})
+	w.after(time.Duration(w.random.IntN(200))*time.Millisecond, func() { w.tick(p) })
+	w.announce()
+	return p
+}
+
+func (w *world) announce() {
+	for _, p := range w.processes {
+		w.after(w.latency(), func() { w.post(p, allotment.MembersChanged{Members: w.members()}) })
+	}
+}
+
+func (w *world) members() []allotment.Member {
+	var members []allotment.Member
+	named := map[id.Instance]bool{}
+	for i := len(w.processes) - 1; i >= 0; i-- {
+		p := w.processes[i]
+		if !named[p.member.Instance] {
+			named[p.member.Instance] = true
+			m := p.member
+			m.Live = !p.dead
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+func (w *world) tick(p *process) {
+	if !p.dead {
+		w.post(p, allotment.Tick{})
+		w.after(200*time.Millisecond, func() { w.tick(p) })
+	}
+}
+
+func (w *world) post(p *process, e allotment.Event) {
+	if p.dead {
+		return
+	}
+	if w.now.Before(p.pausedUntil) {
+		if _, ok := e.(allotment.Tick); !ok {
+			p.inbox = append(p.inbox, e)
+		}
+		return
+	}
+	w.execute(p, p.Reduce(p.clock(w.now), e))
+	w.check()
+}
+
+// pause stops a process; on waking it handles what has come in, some of it in another order.
+func (w *world) pause(p *process, d time.Duration) {
+	p.pausedUntil = w.now.Add(d)
+	w.after(d, func() {
+		inbox := p.inbox
+		p.inbox = nil
+		w.random.Shuffle(len(inbox), func(i, j int) { inbox[i], inbox[j] = inbox[j], inbox[i] })
+		for _, e := range inbox {
+			w.post(p, e)
+		}
+	})
+}
+
+func (w *world) kill(p *process) {
+	p.dead = true
+	w.announce()
+}
+
+func (w *world) execute(p *process, effects []allotment.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case allotment.Send:
+			for range w.copies() {
+				w.after(w.latency(), func() { w.deliver(p, e) })
+			}
+		case allotment.Transact:
+			w.after(w.latency(), func() { w.transact(p, e) })
+		case allotment.ReadRows:
+			sent := p.clock(w.now)
+			w.after(w.latency(), func() { w.read(p, e, sent) })
+		}
+	}
+}
+
+func (w *world) copies() int {
+	switch {
+	case w.chance(w.loss):
+		return 0
+	case w.chance(w.loss):
+		return 2
+	default:
+		return 1
+	}
+}
+
+func (w *world) deliver(from *process, e allotment.Send) {
+	if from.cut {
+		return
+	}
+	for _, p := range w.processes {
+		if p.member.Instance == e.To && !p.dead && !p.cut {
+			w.post(p, allotment.MessageReceived{From: from.member.Instance, Message: e.Message})
+		}
+	}
+}
+
+func (w *world) unreachable(p *process) bool { return p.cut || w.now.Before(w.outage) }
+
+func (w *world) transact(p *process, e allotment.Transact) {
+	done := allotment.TransactionDone{ID: e.ID}
+	lost := w.chance(w.loss)
+	if w.unreachable(p) || lost && w.chance(0.5) {
+		done.Err = &platform.UnavailableError{Call: "transact"}
+	} else {
+		done.Result, _ = w.table.Transact(context.Background(), e.Transaction)
+		w.writes++
+		w.uncover()
+		w.check()
+		if lost {
+			done.Result, done.Err = platform.Result{}, &platform.UnavailableError{Call: "transact"}
+		}
+	}
+	if !lost || w.chance(0.7) {
+		w.after(w.latency(), func() { w.post(p, done) })
+	}
+}
+
+func (w *world) read(p *process, e allotment.ReadRows, sent time.Time) {
+	done := allotment.RowsRead{ID: e.ID, SentAt: sent}
+	if w.unreachable(p) || w.chance(w.loss) {
+		done.Err = &platform.UnavailableError{Call: "read"}
+	} else {
+		done.Rows, _ = w.table.Read(context.Background(), e.Names)
+	}
+	w.after(w.latency(), func() { w.post(p, done) })
+}
+
+// take is a caller's request at a process. It checks every token spent against the oracle.
+func (w *world) take(p *process, limit allotment.Limit, n int) bool {
+	if p.dead || w.now.Before(p.pausedUntil) {
+		return false
+	}
+	before := p.SpendUntil()
+	ok, effects := p.Take(p.clock(w.now), limit.ID, id.Tokens(n))
+	w.execute(p, effects)
+	if !ok {
+		return false
+	}
+	require.True(w.t, p.clock(w.now).Before(before), "%s spent without authority", p.member.Instance)
+	if amount, ok := limit.Amount.(allotment.Rate); ok {
+		b := w.bucket(limit.ID, amount)
+		b.tokens -= float64(n)
+		require.GreaterOrEqual(w.t, b.tokens, -1e-6, "limit %s overspent at %s by %s", limit.ID,
+			w.now.Sub(epoch), p.member.Instance)
+		return true
+	}
+	p.used[limit.ID] += n
+	p.covered[limit.ID] += n
+	w.check()
+	return true
+}
+
+func (w *world) bucket(limit id.Limit, amount allotment.Rate) *bucket {
+	b := w.buckets[limit]
+	b.tokens = min(float64(amount.Burst), b.tokens+float64(amount.Rate)*w.now.Sub(b.at).Seconds())
+	b.at = w.now
+	return b
+}
+
+// finish gives slots back, or refunds tokens.
+func (w *world) finish(p *process, limit allotment.Limit, n int) {
+	if p.dead {
+		return
+	}
+	if w.now.Before(p.pausedUntil) {
+		w.after(time.Second, func() { w.finish(p, limit, n) })
+		return
+	}
+	p.Return(p.clock(w.now), limit.ID, id.Tokens(n))
+	if amount, ok := limit.Amount.(allotment.Rate); ok {
+		b := w.bucket(limit.ID, amount)
+		b.tokens = min(float64(amount.Burst), b.tokens+float64(n))
+		return
+	}
+	p.used[limit.ID] -= n
+	p.covered[limit.ID] = min(p.covered[limit.ID], p.used[limit.ID])
+}
+
+func (w *world) leaseIncarnation(instance id.Instance) id.Incarnation {
+	rows, _ := w.table.Read(context.Background(), []string{"lease/" + string(instance)})
+	var value struct{ Incarnation id.Incarnation }
+	if rows[0].Version != 0 {
+		require.NoError(w.t, json.Unmarshal(rows[0].Value, &value))
+	}
+	return value.Incarnation
+}
+
+// uncover stops counting slots whose taker has lost its lease row: no rule can end the requests in them.
+func (w *world) uncover() {
+	for _, p := range w.processes {
+		if w.leaseIncarnation(p.member.Instance) != p.incarnation {
+			clear(p.covered)
+		}
+	}
+}
+
+func (w *world) authority(p *process) bool { return !p.dead && p.clock(w.now).Before(p.SpendUntil()) }
+
+// check verifies the invariants that hold at every step.
+func (w *world) check() {
+	inUse := map[id.Limit]int{}
+	rows := w.shares()
+	for _, p := range w.processes {
+		if !w.authority(p) {
+			continue
+		}
+		require.Equal(w.t, p.incarnation, w.leaseIncarnation(p.member.Instance),
+			"%s has authority at %s without a lease row", p.member.Instance, w.now.Sub(epoch))
+		for _, d := range p.Dump().Limits {
+			held := rows[d.Limit][p.member.Instance]
+			require.LessOrEqual(w.t, float64(d.Whole), w.worth(d.Limit, held)+1e-6, "%s uses more than it holds", d.Limit)
+			inUse[d.Limit] += p.covered[d.Limit] - w.uncoveredLoans(p, d)
+		}
+	}
+	for _, limit := range w.limits {
+		if amount, ok := limit.Amount.(allotment.Concurrent); ok {
+			require.LessOrEqual(w.t, inUse[limit.ID], int(amount.Slots), "slots of %s at %s", limit.ID, w.now.Sub(epoch))
+		}
+	}
+}
+
+func (w *world) shares() map[id.Limit]map[id.Instance]id.Parts {
+	all := map[id.Limit]map[id.Instance]id.Parts{}
+	for _, limit := range w.limits {
+		rows, _ := w.table.Read(context.Background(), []string{"share/" + string(limit.ID)})
+		value := map[id.Instance]id.Parts{}
+		if rows[0].Version != 0 {
+			require.NoError(w.t, json.Unmarshal(rows[0].Value, &value))
+		}
+		var sum id.Parts
+		for _, parts := range value {
+			sum += parts
+		}
+		require.LessOrEqual(w.t, sum, id.WholeLimit, "parts of %s", limit.ID)
+		all[limit.ID] = value
+	}
+	return all
+}
+
+func (w *world) worth(limit id.Limit, parts id.Parts) float64 {
+	for _, l := range w.limits {
+		switch amount := l.Amount.(type) {
+		case allotment.Rate:
+			if l.ID == limit {
+				return float64(parts.Of(amount.Burst))
+			}
+		case allotment.Concurrent:
+			// One part of tolerance: a third of three slots is 333,333 parts.
+			if l.ID == limit && parts > 0 {
+				return float64((parts + 1).Of(id.Tokens(amount.Slots)))
+			}
+		}
+	}
+	return 0
+}
+
+// uncoveredLoans counts slots in use that were borrowed from a lender that has since lost its lease row.
+func (w *world) uncoveredLoans(p *process, d allotment.LimitDump) int {
+	broken := 0
+	for _, b := range d.Borrowed {
+		key := fmt.Sprint(b.Lender, d.Limit, b.Deadline)
+		current := w.leaseIncarnation(b.Lender)
+		if _, ok := p.loans[key]; !ok {
+			p.loans[key] = current
+		}
+		if p.loans[key] != current {
+			broken += int(b.Amount)
+		}
+	}
+	beyond := max(0, p.covered[d.Limit]-int(d.Whole-d.Lent))
+	return min(broken, beyond)
+}
+
+// whole returns the parts of the limit that processes with authority hold.
+func (w *world) whole(limit id.Limit) id.Parts {
+	var sum id.Parts
+	for _, p := range w.processes {
+		if w.authority(p) {
+			for _, d := range p.Dump().Limits {
+				if d.Limit == limit {
+					sum += d.Parts
+				}
+			}
+		}
+	}
+	return sum
+}
