--- a/internal/scenario/command_test.go
+++ b/internal/scenario/command_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"regexp"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -24,10 +23,7 @@
 
 func commands() map[string]command {
 	all := map[string]command{"start": start, "terminate": terminate, "await": await}
-	for name, send := range map[string]syscall.Signal{"freeze": syscall.SIGSTOP, "thaw": syscall.SIGCONT} {
-		all[name] = one(func(w *world, process string) error { return w.signal(process, send) })
-	}
-	all["crash"] = one((*world).crash)
+	all["crash"], all["freeze"], all["thaw"] = one((*world).crash), one((*world).freeze), one((*world).thaw)
 	for name, run := range queries {
 		all[name] = func(ts *testscript.TestScript, neg bool, args []string) { query(ts, neg, run, args) }
 	}
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -2,7 +2,8 @@
 //
 // Besides the standard commands of testscript, scripts have these:
 //
-//	start NAME PROGRAM [ARG...]      run a program in the background until its log NAME.log has a line with "ready"
+//	start NAME PROGRAM [ARG...]      run a program in the background until its log NAME.log has a line with "ready";
+//	                                 PROGRAM is a command of this module or an absolute path
 //	terminate NAME                   send SIGTERM, wait and check the exit status ("!" expects a failure)
 //	crash NAME                       send SIGKILL and wait
 //	freeze NAME, thaw NAME           send SIGSTOP or SIGCONT
--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -48,7 +48,10 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	command := exec.Command(filepath.Join(programs, program), args...)
+	if !filepath.IsAbs(program) {
+		program = filepath.Join(programs, program)
+	}
+	command := exec.Command(program, args...)
 	command.Dir, command.Stdout, command.Stderr = w.directory, log, log
 	// The kernel ends the program if the test itself is killed and cannot do so.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -101,6 +104,38 @@
 	return nil
 }
 
+// freeze waits until all threads of the process have stopped, because the signal takes effect later than it is sent.
+func (w *world) freeze(name string) error {
+	if err := w.signal(name, syscall.SIGSTOP); err != nil {
+		return err
+	}
+	for deadline := time.Now().Add(startBound); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if stopped(w.processes[name].command.Process.Pid) {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s did not freeze within %v", name, startBound)
+}
+
+// stopped reads the state of each thread, which is the letter after the name in parentheses.
+func stopped(pid int) bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil {
+		return false
+	}
+	for _, thread := range threads {
+		text, err := os.ReadFile(thread)
+		if err != nil || !strings.HasPrefix(string(text[strings.LastIndexByte(string(text), ')')+1:]), " T") {
+			return false
+		}
+	}
+	return len(threads) > 0
+}
+
+func (w *world) thaw(name string) error {
+	return w.signal(name, syscall.SIGCONT)
+}
+
 // terminate returns the exit status of the process; a process that does not end is an error.
 func (w *world) terminate(name string) (int, error) {
 	if err := w.signal(name, syscall.SIGTERM); err != nil {
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -95,18 +95,36 @@
 	run(s)
 }
 
-// Guards against processes, also frozen ones, that outlive a failed script.
+// failing scripts must fail by their last command, after they started the given number of processes.
+var failing = map[string]struct {
+	script  string
+	started int
+}{
+	"missing process": {"start a standin\nstart b standin\nfreeze b\ncrash missing\n", 2},
+	"exit status":     {"start a /bin/sh -c 'trap \"exit 3\" TERM; echo ready; while :; do sleep 0.05; done'\nterminate a\n", 1},
+	"never ready":     {"start a /bin/sh -c 'exit 0'\n", 1},
+	"no match":        {"start a standin --settings standin.json\nawait -within=100ms never counts\n", 1},
+	"match":           {"start a standin --settings standin.json\n! await -within=5s platform counts\n", 1},
+	"no answer":       {"request pregled-1 GET /health\n", 0},
+	"refused control": {"start a standin --settings standin.json\ncontrol /control/faults '{\"slow\":-1}'\n", 1},
+}
+
+// Guards against checks that cannot fail, and against processes, also frozen ones, that outlive a failed script.
 func TestFailedScriptEndsItsProcesses(t *testing.T) {
-	script := filepath.Join(t.TempDir(), "failing.txtar")
-	require.NoError(t, os.WriteFile(script, []byte("start a standin\nstart b standin\nfreeze b\ncrash missing\n"), 0o600))
-	var started *world
-	p := params(func(w *world) { started = w })
-	p.Files = []string{script}
-	outer := &silent{t: t}
-	testscript.RunT(outer, p)
-	require.True(t, outer.failed)
-	require.Len(t, started.processes, 2)
-	for _, process := range started.processes {
-		require.ErrorIs(t, syscall.Kill(process.command.Process.Pid, 0), syscall.ESRCH)
+	for name, test := range failing {
+		t.Run(name, func(t *testing.T) {
+			script := filepath.Join(t.TempDir(), "failing.txtar")
+			require.NoError(t, os.WriteFile(script, []byte(test.script), 0o600))
+			var started *world
+			p := params(func(w *world) { started = w })
+			p.Files = []string{script}
+			outer := &silent{t: t}
+			testscript.RunT(outer, p)
+			require.True(t, outer.failed)
+			require.Len(t, started.processes, test.started)
+			for _, process := range started.processes {
+				require.ErrorIs(t, syscall.Kill(process.command.Process.Pid, 0), syscall.ESRCH)
+			}
+		})
 	}
 }
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -215,6 +215,8 @@
 	require.NoError(t, err)
 	require.False(t, result.Committed)
 	require.NotZero(t, result.Rows[0].Version)
+	_, err = first.Transact(ctx, insert("c"))
+	require.NoError(t, err)
 
 	for _, down := range []standin.Down{standin.Status, standin.Refuse} {
 		require.NoError(t, server.SetFaults(standin.Faults{Down: down}))
@@ -224,7 +226,7 @@
 	require.NoError(t, server.SetFaults(standin.Faults{}))
 	_, err = first.Transact(ctx, insert("b"))
 	require.NoError(t, err)
-	require.Equal(t, standin.StoreCounts{Transactions: 3, Committed: 2, Lost: 1, Written: 2, Reads: 1, Rows: 1}, server.Counts().Platform)
+	require.Equal(t, standin.StoreCounts{Transactions: 4, Committed: 3, Lost: 1, Written: 3, Reads: 1, Rows: 1}, server.Counts().Platform)
 }
 
 // Guards against a list that shows changes before the lag or keeps members whose port is closed.
