Move fleet settings into the stand-in and add a method for each fault

Examples and in-process tests need the same fleets as the process scenarios, so the settings generator is now standin.Firm, with the sizes of both users.

Scenario commands told a wrong call from an expected failure only in part: a misspelt target after "!" passed. Such calls now fail the script always. The ready line must hold the word "ready", not "already".

--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -18,7 +18,10 @@
 //
 // The names stop and kill belong to testscript: stop ends a script with success, so scripts here must not use it.
 //
+// After "!", a command must fail; a wrong call, such as one with an unknown name, fails the script also then.
+//
 // A target is an instance (its callers' address), an instance with ":operator", an upstream, "platform" or "control".
 // Each script gets free ports, settings for the stand-in (standin.json) and for seven instances (NAME.json), and its
-// addresses as environment variables such as CONTROL, PLATFORM, OSREDNJA_1, OSREDNJA_1_OPERATOR and PREGLED_1.
+// addresses as environment variables such as CONTROL, PLATFORM, OSREDNJA_1, OSREDNJA_1_OPERATOR and PREGLED_1. A file
+// "firm" that says "cascadia" selects the larger user's regions and services; the default is "zadruga".
 package scenario
--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_linux_test.go
@@ -1,12 +1,12 @@
-//go:build linux
-
 package scenario_test
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"syscall"
 	"time"
@@ -19,6 +19,8 @@
 	pollPause  = 20 * time.Millisecond
 )
 
+var ready = regexp.MustCompile(`\bready\b`)
+
 // process is a program in the background; err is its exit and is set once done is closed.
 type process struct {
 	command *exec.Cmd
@@ -26,13 +28,9 @@
 	err     error
 }
 
-func (w *world) logFile(name string) string {
-	return filepath.Join(w.directory, name+".log")
-}
-
 // log returns what the process has written so far, or the reason why it cannot be read.
 func (w *world) log(name string) string {
-	text, err := os.ReadFile(w.logFile(name))
+	text, err := os.ReadFile(filepath.Join(w.directory, name+".log"))
 	if err != nil {
 		return err.Error()
 	}
@@ -41,9 +39,9 @@
 
 func (w *world) start(name, program string, args []string) error {
 	if old := w.processes[name]; old != nil && !old.ended() {
-		return fmt.Errorf("%s is running already", name)
+		return fatal(name + " is running already")
 	}
-	log, err := os.Create(w.logFile(name))
+	log, err := os.Create(filepath.Join(w.directory, name+".log"))
 	if err != nil {
 		return err
 	}
@@ -56,7 +54,7 @@
 	// The kernel ends the program if the test itself is killed and cannot do so.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
-		return err
+		return fatal(err.Error())
 	}
 	p := &process{command: command, done: make(chan struct{})}
 	w.processes[name] = p
@@ -68,15 +66,22 @@
 }
 
 func (w *world) awaitReady(name string, p *process) error {
-	for deadline := time.Now().Add(startBound); time.Now().Before(deadline); time.Sleep(pollPause) {
-		if strings.Contains(w.log(name), "ready") {
-			return nil
-		}
-		if p.ended() {
-			return fmt.Errorf("%s ended before it was ready: %v\n%s", name, p.err, w.log(name))
+	if !poll(startBound, func() bool { return p.ended() || ready.MatchString(w.log(name)) }) {
+		return fmt.Errorf("%s was not ready within %v\n%s", name, startBound, w.log(name))
+	}
+	if !ready.MatchString(w.log(name)) {
+		return fmt.Errorf("%s ended before it was ready: %w\n%s", name, p.err, w.log(name))
+	}
+	return nil
+}
+
+func poll(bound time.Duration, condition func() bool) bool {
+	for deadline := time.Now().Add(bound); time.Now().Before(deadline); time.Sleep(pollPause) {
+		if condition() {
+			return true
 		}
 	}
-	return fmt.Errorf("%s was not ready within %v\n%s", name, startBound, w.log(name))
+	return false
 }
 
 func (p *process) ended() bool {
@@ -88,66 +93,44 @@
 	}
 }
 
-func (w *world) signal(name string, signal syscall.Signal) error {
-	p := w.processes[name]
-	if p == nil || p.ended() {
-		return fmt.Errorf("%s is not running", name)
-	}
-	return p.command.Process.Signal(signal)
-}
-
-func (w *world) crash(name string) error {
-	if err := w.signal(name, syscall.SIGKILL); err != nil {
-		return err
-	}
-	<-w.processes[name].done
-	return nil
-}
-
-// freeze waits until all threads of the process have stopped, because the signal takes effect later than it is sent.
-func (w *world) freeze(name string) error {
-	if err := w.signal(name, syscall.SIGSTOP); err != nil {
-		return err
-	}
-	for deadline := time.Now().Add(startBound); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		if stopped(w.processes[name].command.Process.Pid) {
-			return nil
-		}
-	}
-	return fmt.Errorf("%s did not freeze within %v", name, startBound)
-}
-
 // stopped reads the state of each thread, which is the letter after the name in parentheses.
-func stopped(pid int) bool {
-	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
-	if err != nil {
-		return false
-	}
+func (p *process) stopped() bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.command.Process.Pid))
 	for _, thread := range threads {
 		text, err := os.ReadFile(thread)
-		if err != nil || !strings.HasPrefix(string(text[strings.LastIndexByte(string(text), ')')+1:]), " T") {
+		if err != nil || !strings.HasPrefix(string(text[bytes.LastIndexByte(text, ')')+1:]), " T") {
 			return false
 		}
 	}
-	return len(threads) > 0
+	return err == nil && len(threads) > 0
 }
 
-func (w *world) thaw(name string) error {
-	return w.signal(name, syscall.SIGCONT)
+func (p *process) signalled() bool { return true }
+
+// send waits until the signal has had its effect, which is later than it is sent.
+func (w *world) send(name string, signal syscall.Signal, effect func(*process) bool) error {
+	p := w.processes[name]
+	if p == nil || p.ended() {
+		return fatal(name + " is not running")
+	}
+	if err := p.command.Process.Signal(signal); err != nil {
+		return fatal(err.Error())
+	}
+	if !poll(stopBound, func() bool { return effect(p) }) {
+		return fatal(fmt.Sprintf("no effect of %v on %s within %v\n%s", signal, name, stopBound, w.log(name)))
+	}
+	return nil
 }
 
-// terminate returns the exit status of the process; a process that does not end is an error.
-func (w *world) terminate(name string) (int, error) {
-	if err := w.signal(name, syscall.SIGTERM); err != nil {
-		return 0, err
+// terminate fails if the exit status is not zero.
+func (w *world) terminate(name string) error {
+	if err := w.send(name, syscall.SIGTERM, (*process).ended); err != nil {
+		return err
 	}
-	p := w.processes[name]
-	select {
-	case <-p.done:
-		return p.command.ProcessState.ExitCode(), nil
-	case <-time.After(stopBound):
-		return 0, fmt.Errorf("%s did not stop within %v\n%s", name, stopBound, w.log(name))
+	if err := w.processes[name].err; err != nil {
+		return fmt.Errorf("%s: %w\n%s", name, err, w.log(name))
 	}
+	return nil
 }
 
 // endAll kills what the script left running.
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_linux_test.go
@@ -1,5 +1,3 @@
-//go:build linux
-
 package scenario_test
 
 import (
@@ -73,23 +71,20 @@
 
 // silent is a testscript.T that notes a failure without failing the test around it.
 type silent struct {
-	t      *testing.T
+	testscript.T
 	failed bool
 }
 
-type failure struct{}
-
-func (s *silent) Skip(...any)   { panic(failure{}) }
 func (s *silent) Fatal(...any)  { s.FailNow() }
 func (s *silent) Parallel()     {}
 func (s *silent) Log(...any)    {}
 func (s *silent) Verbose() bool { return false }
-func (s *silent) FailNow()      { s.failed = true; panic(failure{}) }
+func (s *silent) FailNow()      { s.failed = true; panic(s) }
 
 func (s *silent) Run(_ string, run func(testscript.T)) {
 	defer func() {
-		if r := recover(); r != nil {
-			require.IsType(s.t, failure{}, r)
+		if r := recover(); r != nil && r != any(s) {
+			panic(r)
 		}
 	}()
 	run(s)
@@ -106,6 +101,8 @@
 	"no match":        {"start a standin --settings standin.json\nawait -within=100ms never counts\n", 1},
 	"match":           {"start a standin --settings standin.json\n! await -within=5s platform counts\n", 1},
 	"no answer":       {"request pregled-1 GET /health\n", 0},
+	"unknown target":  {"! request pregled-99 GET /health\n", 0},
+	"never started":   {"! terminate a\n", 0},
 	"refused control": {"start a standin --settings standin.json\ncontrol /control/faults '{\"slow\":-1}'\n", 1},
 }
 
@@ -118,7 +115,7 @@
 			var started *world
 			p := params(func(w *world) { started = w })
 			p.Files = []string{script}
-			outer := &silent{t: t}
+			outer := &silent{}
 			testscript.RunT(outer, p)
 			require.True(t, outer.failed)
 			require.Len(t, started.processes, test.started)
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -13,7 +13,7 @@
 type Action string
 
 // The actions of a Change. Kill drops all connections without answers until Revive; Drain sets the mark after which
-// started work counts as late. Add starts the new upstream in the change's field Upstream.
+// started work counts as late, Undrain removes it. Add starts the new upstream in the change's field Upstream.
 const (
 	Add     Action = "start"
 	Kill    Action = "kill"
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,205 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+
+	"bluebellhold/id"
+	"bluebellhold/platform"
+)
+
+// Firm is the size of one user's fleet; the first region holds the platform and one instance more than the others.
+type Firm struct {
+	Regions  []id.Region
+	Services []Size
+}
+
+// Size is the number of a service's servers, which are spread over all data centres, and the slots of each.
+type Size struct {
+	Service id.Service
+	Servers int
+	Slots   id.Slots
+}
+
+// The service time, the lag of the list and the outage after a crash suit scenarios that run for seconds.
+const (
+	fleetTime   Milliseconds = 2
+	fleetLag    Milliseconds = 1000
+	fleetOutage Milliseconds = 2000
+)
+
+// OperatorToken is the operators' token of a Fleet.
+const OperatorToken = "operators-of-the-scenario"
+
+const peersSecret = "secret-of-the-peers-of-the-scenario"
+
+// Zadruga returns the size of Skrivni Božiček Zadruga.
+func Zadruga() Firm {
+	return Firm{
+		Regions:  []id.Region{"osrednja", "stajerska", "primorska"},
+		Services: []Size{{"pregled", 14, 6}, {"zrebalnik", 12, 4}, {"darila", 12, 3}},
+	}
+}
+
+// Cascadia returns the size of Cascadia Comb & Brush Works.
+func Cascadia() Firm {
+	return Firm{
+		Regions:  []id.Region{"puget", "willamette", "inland"},
+		Services: []Size{{"catalogue", 18, 6}, {"orderdesk", 12, 5}, {"dealerdocs", 12, 3}},
+	}
+}
+
+// Instance is the settings of one instance; Secret and Token are paths of files.
+type Instance struct {
+	Name       id.Instance   `json:"name"`
+	Region     id.Region     `json:"region"`
+	DataCentre id.DataCentre `json:"datacentre"`
+	Caller     string        `json:"caller"`
+	Peer       string        `json:"peer"`
+	Operator   string        `json:"operator"`
+	Platform   string        `json:"platform"`
+	Secret     string        `json:"secret"`
+	Token      string        `json:"token"`
+}
+
+// Fleet is the settings of a stand-in and of the instances that use it, with free ports of 127.0.0.1.
+type Fleet struct {
+	Standin   Config
+	Instances []Instance
+}
+
+// Fleet picks ports and writes the settings into the directory: standin.json, a file for each instance under its name
+// with .json, and the files of the secret and of the token. The stand-in lists the instances whose ports are open.
+func (f Firm) Fleet(directory string) (Fleet, error) {
+	var ports ports
+	fleet := Fleet{Standin: Config{
+		Control:  ports.next(),
+		Platform: ports.next(),
+		Members:  Members{Probe: true, Lag: fleetLag},
+		Services: f.upstreams(&ports),
+	}}
+	for r, region := range f.Regions {
+		for n := range f.instances(r) {
+			fleet.add(Instance{
+				Name: id.Instance(fmt.Sprintf("%s-%d", region, n+1)), Region: region, DataCentre: dataCentre(region, n),
+				Caller: ports.next(), Peer: ports.next(), Operator: ports.next(),
+				Platform: "http://" + fleet.Standin.Platform,
+				Secret:   filepath.Join(directory, "peers.secret"),
+				Token:    filepath.Join(directory, "operators.token"),
+			})
+		}
+	}
+	if ports.err != nil {
+		return Fleet{}, ports.err
+	}
+	return fleet, fleet.write(directory)
+}
+
+func (f Firm) instances(region int) int {
+	if region == 0 {
+		return 3
+	}
+	return 2
+}
+
+func (f Firm) upstreams(ports *ports) map[id.Service][]Upstream {
+	all := make(map[id.Service][]Upstream)
+	for _, size := range f.Services {
+		for n := range size.Servers {
+			region := f.Regions[n%len(f.Regions)]
+			all[size.Service] = append(all[size.Service], Upstream{
+				Name:   id.Upstream(fmt.Sprintf("%s-%d", size.Service, n+1)),
+				Region: region, DataCentre: dataCentre(region, n/len(f.Regions)),
+				Address: ports.next(), Slots: size.Slots, Time: fleetTime, Outage: fleetOutage,
+			})
+		}
+	}
+	return all
+}
+
+// dataCentre alternates between the two data centres of a region.
+func dataCentre(region id.Region, n int) id.DataCentre {
+	return id.DataCentre(string(region) + []string{"-a", "-b"}[n%2])
+}
+
+func (f *Fleet) add(i Instance) {
+	f.Instances = append(f.Instances, i)
+	f.Standin.Members.List = append(f.Standin.Members.List, platform.Member{
+		Instance: i.Name, Region: i.Region, DataCentre: i.DataCentre, Caller: i.Caller, Peer: i.Peer,
+	})
+}
+
+func (f *Fleet) write(directory string) error {
+	files := map[string]any{"standin.json": f.Standin}
+	for _, i := range f.Instances {
+		files[string(i.Name)+".json"] = i
+	}
+	for name, settings := range files {
+		body, err := json.MarshalIndent(settings, "", "  ")
+		if err == nil {
+			err = os.WriteFile(filepath.Join(directory, name), body, 0o600)
+		}
+		if err != nil {
+			return &FleetError{Cause: err}
+		}
+	}
+	for name, text := range map[string]string{"peers.secret": peersSecret, "operators.token": OperatorToken} {
+		if err := os.WriteFile(filepath.Join(directory, name), []byte(text), 0o600); err != nil {
+			return &FleetError{Cause: err}
+		}
+	}
+	return nil
+}
+
+// The ports lie below the range that the kernel picks local ports from, so a port stays free until it is bound again.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+// portsTried counts over all fleets of the process, so that fleets that run at the same time do not share a port.
+var portsTried atomic.Int64
+
+// ports picks free ports and keeps the first failure.
+type ports struct {
+	err error
+}
+
+// next starts at a port that depends on the process id, so that two processes rarely try the same ports.
+func (p *ports) next() string {
+	var last error
+	for range lastPort - firstPort {
+		n := int64(os.Getpid())*61 + portsTried.Add(1)
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+n%(lastPort-firstPort))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			last = err
+			continue
+		}
+		_ = listener.Close()
+		return address
+	}
+	if p.err == nil {
+		p.err = &FleetError{Cause: last}
+	}
+	return ""
+}
+
+// FleetError reports settings that could not be written or a port that could not be found.
+type FleetError struct {
+	Cause error
+}
+
+// Error shows the cause.
+func (e *FleetError) Error() string {
+	return "standin: cannot set up a fleet: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *FleetError) Unwrap() error {
+	return e.Cause
+}
--- /dev/null
+++ b/internal/standin/methods.go
@@ -0,0 +1,94 @@
+package standin
+
+import (
+	"bluebellhold/id"
+)
+
+// Heal ends all faults of the platform.
+func (s *Server) Heal() error {
+	return s.SetFaults(Faults{})
+}
+
+// SetDown takes the platform down in one of the ways, or up.
+func (s *Server) SetDown(down Down) error {
+	return s.updateFaults(func(f *Faults) { f.Down = down })
+}
+
+// SetSlow delays each request to the platform before it takes effect.
+func (s *Server) SetSlow(delay Milliseconds) error {
+	return s.updateFaults(func(f *Faults) { f.Slow = delay })
+}
+
+// LoseAnswers drops the answers of the next n committed transactions, or of All.
+func (s *Server) LoseAnswers(n int) error {
+	return s.updateFaults(func(f *Faults) { f.Lost = n })
+}
+
+// Cut drops the requests of exactly these instances to the platform.
+func (s *Server) Cut(instances ...id.Instance) error {
+	return s.updateFaults(func(f *Faults) { f.Cut = instances })
+}
+
+// Kill drops all connections of an upstream and keeps it down until Revive.
+func (s *Server) Kill(name id.Upstream) error {
+	return s.changeOne(name, Change{Action: Kill})
+}
+
+// Revive starts an upstream cold after Kill or a crash.
+func (s *Server) Revive(name id.Upstream) error {
+	return s.changeOne(name, Change{Action: Revive})
+}
+
+// MarkDrain sets the drain mark of an upstream; work that it starts from now on counts as late.
+func (s *Server) MarkDrain(name id.Upstream) error {
+	return s.changeOne(name, Change{Action: Drain})
+}
+
+// SetSlots changes the number of requests that an upstream runs at the same time.
+func (s *Server) SetSlots(name id.Upstream, slots id.Slots) error {
+	return s.changeOne(name, Change{Slots: &slots})
+}
+
+// SetTime changes the service time of an upstream for requests that start from now on.
+func (s *Server) SetTime(name id.Upstream, time Milliseconds) error {
+	return s.changeOne(name, Change{Time: &time})
+}
+
+// LagLoad delays the load reports of an upstream.
+func (s *Server) LagLoad(name id.Upstream, lag Milliseconds) error {
+	return s.changeOne(name, Change{Lag: &lag})
+}
+
+// LieLoad makes an upstream report this number of running requests; a negative one ends the lie.
+func (s *Server) LieLoad(name id.Upstream, running int) error {
+	return s.changeOne(name, Change{Lie: &running})
+}
+
+// MuteLoad makes the load reports of an upstream fail.
+func (s *Server) MuteLoad(name id.Upstream, mute bool) error {
+	return s.changeOne(name, Change{Mute: &mute})
+}
+
+func (s *Server) changeOne(name id.Upstream, c Change) error {
+	if name == "" {
+		return &ConfigError{Field: "name", Found: name, Allowed: "an upstream that exists"}
+	}
+	c.Name = name
+	return s.Change(c)
+}
+
+// Runs returns how often requests with the idempotency key were started.
+func (s *Server) Runs(key string) int64 {
+	return s.Counts().Keys[key]
+}
+
+// Upstream returns the counts of an upstream; all are zero if it does not exist.
+func (s *Server) Upstream(name id.Upstream) UpstreamCounts {
+	return s.Counts().Upstreams[name]
+}
+
+// Peak returns the most requests that ran at the same time in a region, or in a region for one service if the name is
+// region/service.
+func (s *Server) Peak(place string) int {
+	return s.Counts().Places[place].Peak
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -123,10 +123,14 @@
 
 // SetFaults replaces the faults of the platform; the zero value ends all of them.
 func (s *Server) SetFaults(faults Faults) error {
-	if err := faults.check(); err != nil {
+	return s.updateFaults(func(f *Faults) { *f = faults })
+}
+
+func (s *Server) updateFaults(change func(*Faults)) error {
+	faults, err := s.store.update(change)
+	if err != nil {
 		return err
 	}
-	s.store.set(faults)
 	if faults.Down == Refuse {
 		s.platform.down()
 		return nil
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -30,10 +30,6 @@
 	return server, server.Upstreams()[0].Address
 }
 
-func counts(s *standin.Server) standin.UpstreamCounts {
-	return s.Counts().Upstreams["draws-1"]
-}
-
 func eventually(t *testing.T, condition func() bool) {
 	t.Helper()
 	require.Eventually(t, condition, bound, 5*time.Millisecond)
@@ -56,17 +52,26 @@
 	return response.StatusCode, response.Header, string(body), err
 }
 
+// succeed sends a request that must be answered with status 200 and returns the body.
+func succeed(t *testing.T, address string, headers ...string) string {
+	t.Helper()
+	status, _, body, err := send(context.Background(), address, headers...)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	return body
+}
+
 // hold sends a request that runs until it is stopped; failed receives its error.
 func hold(t *testing.T, s *standin.Server, address string) (stop func(), failed chan error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	failed = make(chan error, 1)
-	running := counts(s).Running
+	running := s.Upstream("draws-1").Running
 	go func() {
 		_, _, _, err := send(ctx, address, "Test-Slow", "3600000")
 		failed <- err
 	}()
-	eventually(t, func() bool { return counts(s).Running > running })
+	eventually(t, func() bool { return s.Upstream("draws-1").Running > running })
 	return cancel, failed
 }
 
@@ -78,16 +83,14 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, status)
 	require.Equal(t, "not run", header.Get("Outcome"))
-	require.Zero(t, server.Counts().Keys["k"])
+	require.Zero(t, server.Runs("k"))
 
 	stop()
 	require.Error(t, <-failed)
-	eventually(t, func() bool { return counts(server).Running == 0 })
-	status, _, _, err = send(context.Background(), address)
-	require.NoError(t, err)
-	require.Equal(t, http.StatusOK, status)
-	require.Equal(t, standin.UpstreamCounts{Runs: 2, Done: 1, Cancelled: 1, Shed: 1, Peak: 1}, counts(server))
-	require.Equal(t, standin.Place{Peak: 1}, server.Counts().Places["osrednja/draws"])
+	eventually(t, func() bool { return server.Upstream("draws-1").Running == 0 })
+	succeed(t, address)
+	require.Equal(t, standin.UpstreamCounts{Runs: 2, Done: 1, Cancelled: 1, Shed: 1, Peak: 1}, server.Upstream("draws-1"))
+	require.Equal(t, 1, server.Peak("osrednja/draws"))
 }
 
 // Guards against a simulated death that spares requests in flight, answers them or takes another upstream along.
@@ -100,41 +103,34 @@
 	_, _, _, err := send(context.Background(), address, "Test-Crash", "yes")
 	require.Error(t, err)
 	require.Error(t, <-bystander)
-	status, _, _, err := send(context.Background(), server.Upstreams()[1].Address)
-	require.NoError(t, err)
-	require.Equal(t, http.StatusOK, status)
+	succeed(t, server.Upstreams()[1].Address)
 	eventually(t, func() bool {
 		_, _, _, err := send(context.Background(), address)
 		return err == nil
 	})
-	require.Equal(t, int64(1), counts(server).Crashes)
+	require.Equal(t, int64(1), server.Upstream("draws-1").Crashes)
 
-	require.NoError(t, server.Change(standin.Change{Name: "draws-1", Action: standin.Kill}))
+	require.NoError(t, server.Kill("draws-1"))
 	_, _, _, err = send(context.Background(), address)
 	require.Error(t, err)
 	require.NoError(t, server.Change(standin.Change{Region: "osrednja", Action: standin.Revive}))
-	_, _, _, err = send(context.Background(), address)
-	require.NoError(t, err)
+	succeed(t, address)
 }
 
 // Guards against marks that do not do what scenarios rely on.
 func TestMarkedRequests(t *testing.T) {
 	server, address := start(t, 4)
 	ctx := context.Background()
-	_, _, body, err := send(ctx, address, "Idempotency-Key", "k", "Authorization", "Bearer x")
-	require.NoError(t, err)
 	var echo standin.Echo
-	require.NoError(t, json.Unmarshal([]byte(body), &echo))
+	require.NoError(t, json.Unmarshal([]byte(succeed(t, address, "Idempotency-Key", "k", "Authorization", "Bearer x")), &echo))
 	require.Equal(t, id.DigestOf([]byte("names")).String(), echo.Digest)
 	require.Equal(t, "/draws/7?x=1", echo.Path)
 	require.Equal(t, "Bearer x", echo.Headers.Get("Authorization"))
-	require.Equal(t, int64(1), server.Counts().Keys["k"])
-	require.Equal(t, int64(1), counts(server).Keyed)
+	require.Equal(t, int64(1), server.Runs("k"))
+	require.Equal(t, int64(1), server.Upstream("draws-1").Keyed)
 
-	_, _, body, err = send(ctx, address, "Test-Size", "100000")
-	require.NoError(t, err)
-	require.Equal(t, strings.Repeat(echo.Digest, 100000)[:100000], body)
-	_, _, body, err = send(ctx, address, "Test-Break", "70000", "Test-Size", "100000")
+	require.Equal(t, strings.Repeat(echo.Digest, 100000)[:100000], succeed(t, address, "Test-Size", "100000"))
+	_, _, body, err := send(ctx, address, "Test-Break", "70000", "Test-Size", "100000")
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 	require.Len(t, body, 70000)
 
@@ -144,10 +140,9 @@
 	require.Equal(t, "unknown", header.Get("Outcome"))
 
 	require.NoError(t, server.Change(standin.Change{Service: "draws", Action: standin.Drain}))
-	require.Zero(t, counts(server).Late)
-	_, _, _, err = send(ctx, address)
-	require.NoError(t, err)
-	require.Equal(t, int64(1), counts(server).Late)
+	require.Zero(t, server.Upstream("draws-1").Late)
+	succeed(t, address)
+	require.Equal(t, int64(1), server.Upstream("draws-1").Late)
 }
 
 // Guards against a cold upstream that is as fast as a warm one or that requests do not warm.
@@ -176,15 +171,14 @@
 		require.NoError(t, err)
 		return response.Status + strings.TrimSpace(string(body))
 	}
-	lag, lie, mute := standin.Milliseconds(3600000), 99, true
 	hold(t, server, address)
 	require.Equal(t, `200 OK{"running":1,"slots":4}`, load())
-	require.NoError(t, server.Change(standin.Change{Name: "draws-1", Lag: &lag}))
+	require.NoError(t, server.LagLoad("draws-1", 3600000))
 	hold(t, server, address)
 	require.Equal(t, `200 OK{"running":1,"slots":4}`, load())
-	require.NoError(t, server.Change(standin.Change{Name: "draws-1", Lie: &lie}))
+	require.NoError(t, server.LieLoad("draws-1", 99))
 	require.Equal(t, `200 OK{"running":99,"slots":4}`, load())
-	require.NoError(t, server.Change(standin.Change{Name: "draws-1", Mute: &mute}))
+	require.NoError(t, server.MuteLoad("draws-1", true))
 	require.Equal(t, `503 Service Unavailable`, load())
 }
 
@@ -201,14 +195,16 @@
 	}
 	var unavailable *platform.UnavailableError
 
-	require.NoError(t, server.SetFaults(standin.Faults{Cut: []id.Instance{"osrednja-1"}, Slow: 1}))
+	require.NoError(t, server.Cut("osrednja-1"))
+	require.NoError(t, server.SetSlow(1))
 	_, err := first.Transact(ctx, insert("a"))
 	require.ErrorAs(t, err, &unavailable)
 	rows, err := second.Read(ctx, []string{"a"})
 	require.NoError(t, err)
 	require.Zero(t, rows[0].Version)
 
-	require.NoError(t, server.SetFaults(standin.Faults{Lost: 1}))
+	require.NoError(t, server.Cut())
+	require.NoError(t, server.LoseAnswers(1))
 	_, err = first.Transact(ctx, insert("a"))
 	require.ErrorAs(t, err, &unavailable)
 	result, err := first.Transact(ctx, insert("a"))
@@ -219,11 +215,11 @@
 	require.NoError(t, err)
 
 	for _, down := range []standin.Down{standin.Status, standin.Refuse} {
-		require.NoError(t, server.SetFaults(standin.Faults{Down: down}))
+		require.NoError(t, server.SetDown(down))
 		_, err = first.Read(ctx, nil)
 		require.ErrorAs(t, err, &unavailable)
 	}
-	require.NoError(t, server.SetFaults(standin.Faults{}))
+	require.NoError(t, server.Heal())
 	_, err = first.Transact(ctx, insert("b"))
 	require.NoError(t, err)
 	require.Equal(t, standin.StoreCounts{Transactions: 4, Committed: 3, Lost: 1, Written: 3, Reads: 1, Rows: 1}, server.Counts().Platform)
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -104,11 +104,18 @@
 	s.handler.ServeHTTP(w, r)
 }
 
-func (s *store) set(faults Faults) {
+// update changes the faults unless the result is not allowed, and returns them.
+func (s *store) update(change func(*Faults)) (Faults, error) {
 	s.m.Lock()
 	defer s.m.Unlock()
+	faults := s.faults
+	change(&faults)
+	if err := faults.check(); err != nil {
+		return Faults{}, err
+	}
 	faults.Cut = slices.Clone(faults.Cut)
 	s.faults = faults
+	return faults, nil
 }
 
 func (s *store) count(add StoreCounts) {
