--- a/allotment/sim_test.go
+++ b/allotment/sim_test.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"context"
 	"encoding/json"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -51,7 +50,13 @@
 	inbox       []allotment.Event
 	// used counts slots; covered counts those that were taken under the present lease row.
 	used, covered map[id.Limit]int
-	loans         map[string]id.Incarnation
+	loans         map[loanKey]id.Incarnation
+}
+
+type loanKey struct {
+	lender   id.Instance
+	limit    id.Limit
+	deadline time.Time
 }
 
 // bucket is the exact oracle of a rate limit: what all instances together may spend.
@@ -75,12 +80,15 @@
 	buckets   map[id.Limit]*bucket
 	config    allotment.Config
 	writes    int
+	// rows and leases hold the share rows and the incarnations in the lease rows as of the last write.
+	rows   map[id.Limit]map[id.Instance]id.Parts
+	leases map[id.Instance]id.Incarnation
 }
 
 func newWorld(t require.TestingT, seed uint64, config allotment.Config, limits ...allotment.Limit) *world {
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: epoch, config: config,
-		limits: limits, buckets: map[id.Limit]*bucket{},
+		limits: limits, buckets: map[id.Limit]*bucket{}, leases: map[id.Instance]id.Incarnation{},
 	}
 	for _, limit := range limits {
 		if amount, ok := limit.Amount.(allotment.Rate); ok {
@@ -127,7 +135,7 @@
 		incarnation: id.Incarnation(w.random.Uint64()),
 		drift:       (w.random.Float64() - 0.5) / 125, // 0.4% either way
 		offset:      time.Duration(w.random.IntN(1e6)) * time.Millisecond,
-		used:        map[id.Limit]int{}, covered: map[id.Limit]int{}, loans: map[string]id.Incarnation{},
+		used:        map[id.Limit]int{}, covered: map[id.Limit]int{}, loans: map[loanKey]id.Incarnation{},
 	}
 	p.member.Region = regions[int(name[len(name)-1])%len(regions)]
 	config := w.config
@@ -248,6 +256,7 @@
 	} else {
 		done.Result, _ = w.table.Transact(context.Background(), e.Transaction)
 		w.writes++
+		w.rows = w.shares()
 		w.uncover()
 		w.check()
 		if lost {
@@ -280,12 +289,15 @@
 	if !ok {
 		return false
 	}
-	require.True(w.t, p.clock(w.now).Before(before), "%s spent without authority", p.member.Instance)
+	if !p.clock(w.now).Before(before) {
+		require.FailNow(w.t, "spent without authority", "%s at %s", p.member.Instance, w.now.Sub(epoch))
+	}
 	if amount, ok := limit.Amount.(allotment.Rate); ok {
 		b := w.bucket(limit.ID, amount)
 		b.tokens -= float64(n)
-		require.GreaterOrEqual(w.t, b.tokens, -1e-6, "limit %s overspent at %s by %s", limit.ID,
-			w.now.Sub(epoch), p.member.Instance)
+		if b.tokens < -1e-6 {
+			require.FailNow(w.t, "overspent", "%s at %s by %s", limit.ID, w.now.Sub(epoch), p.member.Instance)
+		}
 		return true
 	}
 	p.used[limit.ID] += n
@@ -320,7 +332,7 @@
 	p.covered[limit.ID] = min(p.covered[limit.ID], p.used[limit.ID])
 }
 
-func (w *world) leaseIncarnation(instance id.Instance) id.Incarnation {
+func (w *world) readLease(instance id.Instance) id.Incarnation {
 	rows, _ := w.table.Read(context.Background(), []string{"lease/" + string(instance)})
 	var value struct{ Incarnation id.Incarnation }
 	if rows[0].Version != 0 {
@@ -332,7 +344,8 @@
 // uncover stops counting slots whose taker has lost its lease row: no rule can end the requests in them.
 func (w *world) uncover() {
 	for _, p := range w.processes {
-		if w.leaseIncarnation(p.member.Instance) != p.incarnation {
+		w.leases[p.member.Instance] = w.readLease(p.member.Instance)
+		if w.leases[p.member.Instance] != p.incarnation {
 			clear(p.covered)
 		}
 	}
@@ -343,22 +356,24 @@
 // check verifies the invariants that hold at every step.
 func (w *world) check() {
 	inUse := map[id.Limit]int{}
-	rows := w.shares()
 	for _, p := range w.processes {
 		if !w.authority(p) {
 			continue
 		}
-		require.Equal(w.t, p.incarnation, w.leaseIncarnation(p.member.Instance),
-			"%s has authority at %s without a lease row", p.member.Instance, w.now.Sub(epoch))
+		if w.leases[p.member.Instance] != p.incarnation {
+			require.FailNow(w.t, "authority without a lease row", "%s at %s", p.member.Instance, w.now.Sub(epoch))
+		}
 		for _, d := range p.Dump().Limits {
-			held := rows[d.Limit][p.member.Instance]
-			require.LessOrEqual(w.t, float64(d.Whole), w.worth(d.Limit, held)+1e-6, "%s uses more than it holds", d.Limit)
+			held := w.worth(d.Limit, w.rows[d.Limit][p.member.Instance])
+			if float64(d.Whole) > held+1e-6 {
+				require.FailNow(w.t, "more than held", "%s uses %v of %v of %s", p.member.Instance, d.Whole, held, d.Limit)
+			}
 			inUse[d.Limit] += p.covered[d.Limit] - w.uncoveredLoans(p, d)
 		}
 	}
 	for _, limit := range w.limits {
-		if amount, ok := limit.Amount.(allotment.Concurrent); ok {
-			require.LessOrEqual(w.t, inUse[limit.ID], int(amount.Slots), "slots of %s at %s", limit.ID, w.now.Sub(epoch))
+		if amount, ok := limit.Amount.(allotment.Concurrent); ok && inUse[limit.ID] > int(amount.Slots) {
+			require.FailNow(w.t, "too many slots", "%d of %s at %s", inUse[limit.ID], limit.ID, w.now.Sub(epoch))
 		}
 	}
 }
@@ -402,8 +417,8 @@
 func (w *world) uncoveredLoans(p *process, d allotment.LimitDump) int {
 	broken := 0
 	for _, b := range d.Borrowed {
-		key := fmt.Sprint(b.Lender, d.Limit, b.Deadline)
-		current := w.leaseIncarnation(b.Lender)
+		key := loanKey{b.Lender, d.Limit, b.Deadline}
+		current := w.leases[b.Lender]
 		if _, ok := p.loans[key]; !ok {
 			p.loans[key] = current
 		}
--- a/allotment/table.go
+++ b/allotment/table.go
@@ -121,7 +121,7 @@
 	if !l.lease.held {
 		return l.acquire(now)
 	}
-	t := &attempt{witness: l.desiredWitness}
+	t := attempt{witness: l.desiredWitness}
 	due := !now.Before(l.lease.renewedAt.Add(l.config.RenewEvery)) || t.witness != l.lease.witness
 	if len(l.attempts) > 0 {
 		// Only a plain renewal is sent while an outcome is unknown: whichever takes effect resolves the others.
@@ -145,10 +145,11 @@
 	if !l.mayAcquire(now) {
 		return nil
 	}
-	return l.send(now, &attempt{witness: l.desiredWitness})
+	return l.send(now, attempt{witness: l.desiredWitness})
 }
 
-func (l *Ledger) send(now time.Time, t *attempt) []Effect {
+func (l *Ledger) send(now time.Time, next attempt) []Effect {
+	t := &next
 	l.serial++
 	l.calls++
 	t.id, t.serial, t.asked, t.base, t.sentAt = l.newID(), l.serial, l.calls, l.lease.version, now
