Strengthen the handshake and certificate tests

The silent-stranger test shared a node with its virtual-time bubble and crashed the test process without the race detector; it now builds its node inside the bubble. Trials with altered code showed that the rule for duplicate sessions, the self-connection check and the client certificate check were not covered; each alteration now fails a test.

--- a/internal/peer/export_test.go
+++ b/internal/peer/export_test.go
@@ -12,9 +12,14 @@
 // QueueLimit is the number of messages that wait for one peer at most.
 const QueueLimit = queueLimit
 
-// Answer runs the accepting side on any kind of connection.
-func (n *Node) Answer(conn net.Conn) error {
-	return n.answer(conn)
+// Answer runs the accepting side of a node without a listener, so that it can run in virtual time.
+func Answer(config Config, conn net.Conn) error {
+	config.Listen = "127.0.0.1:0"
+	config, err := config.validated()
+	if err != nil {
+		return err
+	}
+	return newNode(config, nil).answer(conn)
 }
 
 // Inject writes raw bytes into the message stream of the session with the only peer of n.
--- a/internal/peer/handshake_test.go
+++ b/internal/peer/handshake_test.go
@@ -46,6 +46,8 @@
 	b.binding, b.secret = a.binding, []byte("another secret of enough bytes")
 	_, accepted = meet(a, b, nil)
 	require.ErrorAs(t, accepted, &refused)
+	_, accepted = meet(a, a, nil)
+	require.ErrorAs(t, accepted, &refused, "a handshake of an instance with itself")
 }
 
 // impostor answers a dialling instance with what it has sent itself, under the expected name.
@@ -76,3 +78,23 @@
 		near.Close()
 	}
 }
+
+// Guards against two sides that keep different sessions, or a rule under which both sessions replace each other.
+func TestBothSidesKeepTheSameSession(t *testing.T) {
+	a, b := &Node{config: Config{Self: "a"}}, &Node{config: Config{Self: "b"}}
+	seen := func(n *Node, byA bool, incarnation id.Incarnation) *session {
+		if n == a {
+			return &session{node: a, peer: "b", dialled: byA, incarnation: incarnation}
+		}
+		return &session{node: b, peer: "a", dialled: !byA, incarnation: incarnation}
+	}
+	for _, n := range []*Node{a, b} {
+		require.True(t, seen(n, true, 1).precedes(seen(n, false, 1)), "the lower name's session wins")
+		require.False(t, seen(n, false, 1).precedes(seen(n, true, 1)))
+		for _, byA := range []bool{true, false} {
+			require.True(t, seen(n, byA, 1).precedes(seen(n, byA, 1)), "a later dial shows that the earlier one ended")
+			require.True(t, seen(n, byA, 2).precedes(seen(n, !byA, 1)))
+			require.False(t, seen(n, byA, 1).precedes(seen(n, !byA, 2)))
+		}
+	}
+}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -40,6 +40,13 @@
 	if err != nil {
 		return nil, &ListenError{Address: config.Listen, Cause: err}
 	}
+	n := newNode(config, listener)
+	n.wait.Go(n.acceptLoop)
+	n.wait.Go(n.blockLoop)
+	return n, nil
+}
+
+func newNode(config Config, listener net.Listener) *Node {
 	n := &Node{
 		config:     config,
 		log:        config.Log.WithPrefix("peer"),
@@ -49,9 +56,7 @@
 		links:      make(map[id.Instance]*link),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.wait.Go(n.acceptLoop)
-	n.wait.Go(n.blockLoop)
-	return n, nil
+	return n
 }
 
 // Address returns the address that the node listens on.
--- a/internal/peer/stranger_test.go
+++ b/internal/peer/stranger_test.go
@@ -57,12 +57,11 @@
 
 // Guards against a stranger who connects, says nothing and occupies a handshake for ever.
 func TestSilentStrangerIsClosed(t *testing.T) {
-	a := start(t, "a", nil)
 	synctest.Test(t, func(t *testing.T) {
 		near, far := net.Pipe()
 		defer far.Close()
 		started := time.Now()
-		require.Error(t, a.Answer(near))
+		require.Error(t, peer.Answer(peer.Config{Self: "a", Secret: secret}, near))
 		require.Equal(t, peer.HandshakeTimeout, time.Since(started))
 	})
 }
@@ -91,7 +90,8 @@
 	return a
 }
 
-func (a *authority) use(name string) func(*peer.Config) {
+// use presents a certificate of this authority for the name and trusts roots.
+func (a *authority) use(name string, roots *x509.CertPool) func(*peer.Config) {
 	leaf := &x509.Certificate{
 		SerialNumber: big.NewInt(2), NotAfter: time.Now().Add(time.Hour), DNSNames: []string{name},
 	}
@@ -100,24 +100,26 @@
 	own := tls.Certificate{Certificate: [][]byte{raw}, PrivateKey: a.key}
 	return func(c *peer.Config) {
 		c.Certificates = func() (peer.Certificates, error) {
-			return peer.Certificates{Own: own, Roots: a.roots}, nil
+			return peer.Certificates{Own: own, Roots: roots}, nil
 		}
 	}
 }
 
 // Guards against TLS that lets in an instance without a certificate, with another fleet's or with another name's.
 func TestCertificatesAreRequired(t *testing.T) {
-	ours := newAuthority(t)
+	ours, theirs := newAuthority(t), newAuthority(t)
 	for name, stranger := range map[id.Instance]func(*peer.Config){
-		"plain": nil, "foreign": newAuthority(t).use("foreign"), "other": ours.use("another"),
+		"plain": nil, "foreign": theirs.use("foreign", ours.roots), "other": ours.use("another", ours.roots),
 	} {
-		a := start(t, "a", ours.use("a"))
+		a := start(t, "a", ours.use("a", ours.roots))
 		b := start(t, name, stranger)
 		b.SetPeers(members(a))
 		eventually(t, func() bool { return a.count("refused") > 1 }, "refusals of "+string(name))
+		a.SetPeers(members(b))
+		eventually(t, func() bool { return b.count("refused") > 1 }, "refusals by a of "+string(name))
 		require.Zero(t, a.count("opened"))
 	}
-	a, b := start(t, "a", ours.use("a")), start(t, "b", ours.use("b"))
+	a, b := start(t, "a", ours.use("a", ours.roots)), start(t, "b", ours.use("b", ours.roots))
 	a.SetPeers(members(b))
 	b.SetPeers(members(a))
 	linked(t, a, b)
