Add the membership view

Parts of an instance need one answer to who is live, suspect, leaving or gone, although the platform's list lags, may be wrong and has outages. Heartbeats outweigh the list; the list decides about silent instances only. The view is free of I/O and returns status changes as data.

--- /dev/null
+++ b/fleet/view.go
@@ -0,0 +1,186 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bluebellhold/id"
+	"bluebellhold/platform"
+)
+
+// defaultSuspectAfter allows for three lost heartbeats, which are sent every 500 ms.
+const defaultSuspectAfter = 2 * time.Second
+
+// Config describes the instance that keeps the view.
+type Config struct {
+	Self        platform.Member
+	Incarnation id.Incarnation
+	// SuspectAfter is the silence after which an instance is no longer live; zero means 2 s.
+	SuspectAfter time.Duration
+}
+
+// View is one instance's view of the fleet. It is not safe for concurrent use.
+type View struct {
+	config  Config
+	self    *entry
+	entries map[id.Instance]*entry // the own instance included
+	// graceUntil ends the time in which listed instances count as heard, so that an instance that has just started
+	// does not take the whole fleet for silent. It is zero before the first list.
+	graceUntil time.Time
+}
+
+// New returns a view that holds only the own instance.
+func New(config Config) *View {
+	if config.SuspectAfter <= 0 {
+		config.SuspectAfter = defaultSuspectAfter
+	}
+	self := &entry{Member: Member{Member: config.Self, Status: Live, Incarnation: config.Incarnation}}
+	// A list from before this process started can only report its predecessor's stop.
+	self.outdated = true
+	return &View{
+		config:  config,
+		self:    self,
+		entries: map[id.Instance]*entry{config.Self.Instance: self},
+	}
+}
+
+// Reduce takes one event and returns the changes that it causes, by name.
+func (v *View) Reduce(now time.Time, e Event) []Change {
+	v.self.HeardAt, v.self.silentAt = now, now.Add(v.config.SuspectAfter)
+	switch e := e.(type) {
+	case Listed:
+		v.takeList(now, e)
+		return v.evaluateAll(now)
+	case Heard:
+		return v.heard(now, e)
+	case SaidFarewell:
+		return v.saidFarewell(now, e)
+	default:
+		return v.evaluateAll(now)
+	}
+}
+
+func (v *View) takeList(now time.Time, l Listed) {
+	if v.graceUntil.IsZero() {
+		v.graceUntil = now.Add(v.config.SuspectAfter)
+	}
+	members := make(map[id.Instance]platform.Member, len(l.Members))
+	for _, m := range l.Members {
+		members[m.Instance] = m
+	}
+	for instance, e := range v.entries {
+		if _, ok := members[instance]; !ok {
+			e.unlist()
+		}
+	}
+	for instance, m := range members {
+		e, ok := v.entries[instance]
+		if !ok {
+			e = v.add(instance)
+			e.silentAt = v.graceUntil
+		}
+		if e == v.self {
+			// The settings know the own addresses better than a list that lags.
+			leaving := m.Leaving
+			m = v.config.Self
+			m.Leaving = leaving
+		}
+		e.list(m)
+	}
+}
+
+func (v *View) heard(now time.Time, h Heard) []Change {
+	e, ok := v.entries[h.Instance]
+	if !ok {
+		e = v.add(h.Instance)
+	}
+	before := e.Incarnation
+	if e == v.self {
+		e.leaving = h.Leaving
+	} else {
+		e.hear(now, h, now.Add(v.config.SuspectAfter))
+	}
+	return v.evaluate(nil, now, e, before)
+}
+
+func (v *View) saidFarewell(now time.Time, f SaidFarewell) []Change {
+	e, ok := v.entries[f.Instance]
+	if !ok {
+		return nil
+	}
+	e.farewell = true
+	return v.evaluate(nil, now, e, e.Incarnation)
+}
+
+func (v *View) add(instance id.Instance) *entry {
+	e := &entry{Member: Member{Member: platform.Member{Instance: instance}, Status: Gone}}
+	v.entries[instance] = e
+	return e
+}
+
+func (v *View) evaluateAll(now time.Time) []Change {
+	var changes []Change
+	for _, e := range v.entries {
+		changes = v.evaluate(changes, now, e, e.Incarnation)
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Instance, b.Instance) })
+	return changes
+}
+
+// evaluate updates the status of e and appends a change if there is one; before is its incarnation before the event.
+func (v *View) evaluate(changes []Change, now time.Time, e *entry, before id.Incarnation) []Change {
+	from := e.Status
+	e.Status = e.evaluate(now)
+	if e.Status == Gone {
+		delete(v.entries, e.Instance)
+	}
+	if e.Status == from && e.Incarnation == before {
+		return changes
+	}
+	return append(changes, Change{Instance: e.Instance, Incarnation: e.Incarnation, From: from, To: e.Status})
+}
+
+// Members returns all instances of the view, the own one included, by name, as of the last event.
+func (v *View) Members() []Member {
+	return v.selected(func(*entry) bool { return true })
+}
+
+// Live returns the live instances, the own one included unless it is leaving, by name, as of the last event.
+func (v *View) Live() []Member {
+	return v.selected(func(e *entry) bool { return e.Status == Live })
+}
+
+func (v *View) selected(keep func(*entry) bool) []Member {
+	members := make([]Member, 0, len(v.entries))
+	for _, e := range v.entries {
+		if keep(e) {
+			members = append(members, e.Member)
+		}
+	}
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
+	return members
+}
+
+// Status returns the status of one instance, Gone if it is not in the view.
+func (v *View) Status(instance id.Instance) Status {
+	e, ok := v.entries[instance]
+	if !ok {
+		return Gone
+	}
+	return e.Status
+}
+
+// Reader tells whether this instance is the one that polls the head in its data centre: the one with the lowest name
+// among those that are heard and live.
+//
+// Instances that do not hear each other may both be readers, which costs reads and nothing else.
+func (v *View) Reader(now time.Time) bool {
+	for instance, e := range v.entries {
+		if instance < v.config.Self.Instance && e.Region == v.config.Self.Region &&
+			e.DataCentre == v.config.Self.DataCentre && e.heardLately(now) && e.evaluate(now) == Live {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/fleet/view_test.go
@@ -0,0 +1,248 @@
+package fleet_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bluebellhold/fleet"
+	"bluebellhold/id"
+	"bluebellhold/platform"
+)
+
+const suspectAfter = 2 * time.Second
+
+var (
+	self  = member("m", "east")
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
+func member(name id.Instance, centre id.DataCentre) platform.Member {
+	return platform.Member{Instance: name, Region: "r", DataCentre: centre, Peer: "10.0.0.1:1"}
+}
+
+func listed(members ...platform.Member) fleet.Listed {
+	return fleet.Listed{Members: members}
+}
+
+// record is one event with its time.
+type record struct {
+	at    time.Time
+	event fleet.Event
+}
+
+// model derives the view from the whole history again and again; begun is where the history of an instance in the
+// view begins.
+type model struct {
+	history []record
+	begun   map[id.Instance]int
+}
+
+// containing returns the list's entry for the instance.
+func containing(l fleet.Listed, name id.Instance) (platform.Member, bool) {
+	for _, m := range slices.Backward(l.Members) {
+		if m.Instance == name {
+			return m, true
+		}
+	}
+	return platform.Member{}, false
+}
+
+// lists returns the entries of the lists since an event, oldest first, and whether the newest list has one.
+func (m *model) lists(name id.Instance, since int) (leaving []bool, now bool) {
+	for i, r := range m.history {
+		l, ok := r.event.(fleet.Listed)
+		if !ok {
+			continue
+		}
+		entry, found := containing(l, name)
+		now = found
+		if i >= since {
+			leaving = append(leaving, found && entry.Leaving)
+		}
+	}
+	return leaving, now
+}
+
+func (m *model) firstList() time.Time {
+	for _, r := range m.history {
+		if _, ok := r.event.(fleet.Listed); ok {
+			return r.at
+		}
+	}
+	return time.Time{}
+}
+
+// status tells what the instance is at the time of the last event.
+func (m *model) status(name id.Instance) (fleet.Status, id.Incarnation) {
+	begun, known := m.begun[name]
+	if !known {
+		return fleet.Gone, 0
+	}
+	now := m.history[len(m.history)-1].at
+	var newest, predecessor id.Incarnation
+	for _, r := range m.history[begun:] {
+		if h, ok := r.event.(fleet.Heard); ok && h.Instance == name && h.Incarnation > newest {
+			newest, predecessor = h.Incarnation, newest
+		}
+	}
+	silentAt, leaving, farewell, first := m.firstList().Add(suspectAfter), false, false, -1
+	for i, r := range m.history[begun:] {
+		switch e := r.event.(type) {
+		case fleet.Heard:
+			if e.Instance == name && e.Incarnation == newest {
+				silentAt, leaving, farewell = r.at.Add(suspectAfter), e.Leaving, false
+				if first < 0 {
+					first = begun + i
+				}
+			}
+		case fleet.SaidFarewell:
+			farewell = farewell || e.Instance == name
+		}
+	}
+	all, isListed := m.lists(name, 0)
+	departing := isListed && all[len(all)-1]
+	if departing && predecessor != 0 {
+		// The successor is not leaving if every list since shortly before its start says the same.
+		since, _ := m.lists(name, first)
+		before := len(all) - len(since) - 1
+		departing = before < 0 || slices.Contains(all[before:], false)
+	}
+	silent := !now.Before(silentAt)
+	switch {
+	case silent && !isListed:
+		return fleet.Gone, 0
+	case leaving || farewell || departing:
+		return fleet.Leaving, newest
+	case silent:
+		return fleet.Suspect, newest
+	default:
+		return fleet.Live, newest
+	}
+}
+
+func (m *model) add(r record, names []id.Instance) {
+	m.history = append(m.history, r)
+	for _, name := range names {
+		_, known := m.begun[name]
+		present := false
+		switch e := r.event.(type) {
+		case fleet.Heard:
+			present = e.Instance == name
+		case fleet.Listed:
+			_, present = containing(e, name)
+		}
+		if present && !known {
+			m.begun[name] = len(m.history) - 1
+		}
+		if status, _ := m.status(name); status == fleet.Gone {
+			delete(m.begun, name)
+		}
+	}
+}
+
+func drawEvent(t *rapid.T, names []id.Instance) fleet.Event {
+	name := rapid.SampledFrom(names).Draw(t, "name")
+	switch rapid.IntRange(0, 9).Draw(t, "event") {
+	case 0, 1, 2:
+		// The list lags and errs: any subset, any flags, with or without the own instance.
+		l := fleet.Listed{}
+		for _, n := range names {
+			if rapid.Bool().Draw(t, "listed") {
+				entry := member(n, "east")
+				entry.Leaving = rapid.IntRange(0, 3).Draw(t, "departing") == 0
+				l.Members = append(l.Members, entry)
+			}
+		}
+		return l
+	case 3:
+		return fleet.SaidFarewell{Instance: name}
+	case 4:
+		return fleet.Tick{}
+	default:
+		return fleet.Heard{
+			Instance:    name,
+			Incarnation: id.Incarnation(rapid.IntRange(1, 3).Draw(t, "incarnation")),
+			Leaving:     rapid.IntRange(0, 4).Draw(t, "leaving") == 0,
+		}
+	}
+}
+
+// Guards against a view that a lagging, wrong or missing list, a late heartbeat or a restart leads astray, and against
+// changes that do not add up to the view.
+func TestViewAgreesWithHistory(t *testing.T) {
+	names := []id.Instance{"a", "b", "z"}
+	rapid.Check(t, func(t *rapid.T) {
+		view := fleet.New(fleet.Config{Self: self, Incarnation: 9})
+		history := &model{begun: make(map[id.Instance]int)}
+		reported := make(map[id.Instance]fleet.Change)
+		now := start
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "pause")) * suspectAfter / 4)
+			event := drawEvent(t, names)
+			// Time passes first, so that the silence before the event is noticed.
+			changes := view.Reduce(now, fleet.Tick{})
+			history.add(record{now, fleet.Tick{}}, names)
+			changes = append(changes, view.Reduce(now, event)...)
+			history.add(record{now, event}, names)
+			for _, c := range changes {
+				if before, ok := reported[c.Instance]; ok {
+					require.Equal(t, before.To, c.From)
+				} else {
+					require.Equal(t, fleet.Gone, c.From)
+				}
+				require.NotEqual(t, reported[c.Instance], c)
+				reported[c.Instance] = c
+			}
+			for _, name := range names {
+				status, incarnation := history.status(name)
+				require.Equal(t, status, view.Status(name), "%s after %#v", name, event)
+				if status != fleet.Gone {
+					require.Equal(t, status, reported[name].To)
+					require.Equal(t, incarnation, reported[name].Incarnation)
+				}
+			}
+			require.Equal(t, fleet.Live, view.Status(self.Instance), "no list removes the own instance")
+		}
+	})
+}
+
+// Guards against a data centre in which nobody, or somebody who is silent or leaving, reads the head.
+func TestLowestHeardNameReads(t *testing.T) {
+	view := fleet.New(fleet.Config{Self: self, Incarnation: 9})
+	require.True(t, view.Reader(start), "alone")
+	view.Reduce(start, listed(self, member("a", "west"), member("b", "east"), member("z", "east")))
+	require.Equal(t, fleet.Live, view.Status("b"), "grace after the first list")
+	require.True(t, view.Reader(start), "listed instances that are not heard do not count")
+	for _, name := range []id.Instance{"a", "z"} {
+		view.Reduce(start, fleet.Heard{Instance: name, Incarnation: 1})
+	}
+	require.True(t, view.Reader(start), "another data centre or a higher name does not count")
+	view.Reduce(start, fleet.Heard{Instance: "b", Incarnation: 1})
+	require.False(t, view.Reader(start))
+	require.True(t, view.Reader(start.Add(suspectAfter)), "silent")
+	view.Reduce(start, fleet.Heard{Instance: "b", Incarnation: 1, Leaving: true})
+	require.True(t, view.Reader(start), "leaving")
+}
+
+// Guards against an instance that stops because the list still reports its predecessor's stop, and against one that
+// ignores its own.
+func TestOwnStop(t *testing.T) {
+	departing := self
+	departing.Leaving, departing.Peer = true, "10.0.0.9:9"
+	want := []fleet.Change{{Instance: "m", Incarnation: 9, From: fleet.Live, To: fleet.Leaving}}
+	for _, caughtUp := range []fleet.Listed{listed(self), listed()} {
+		view := fleet.New(fleet.Config{Self: self, Incarnation: 9})
+		require.Empty(t, view.Reduce(start, listed(departing)))
+		require.Empty(t, view.Reduce(start, caughtUp))
+		require.Equal(t, want, view.Reduce(start, listed(departing)))
+		require.Equal(t, self.Peer, view.Members()[0].Peer, "the settings know the own address")
+		view.Reduce(start, listed(self))
+		require.Len(t, view.Live(), 1)
+		require.Equal(t, want, view.Reduce(start, fleet.Heard{Instance: "m", Incarnation: 9, Leaving: true}))
+		require.Empty(t, view.Live())
+	}
+}
