--- /dev/null
+++ b/internal/peer/bench_test.go
@@ -0,0 +1,82 @@
+package peer_test
+
+import (
+	"fmt"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhold/id"
+	"bluebellhold/internal/peer"
+	"bluebellhold/internal/wire"
+)
+
+// processorTime returns the user and system time of the process.
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// Measures one heartbeat and its reply, both ends together.
+func BenchmarkHeartbeatExchange(b *testing.B) {
+	answered := make(chan struct{}, 1)
+	heartbeat := &wire.Envelope{Payload: &wire.Envelope_Heartbeat{Heartbeat: &wire.Heartbeat{
+		Sequence: 1 << 40, Incarnation: 1 << 40, Epoch: 1 << 20,
+	}}}
+	reply := &wire.Envelope{Payload: &wire.Envelope_HeartbeatReply{HeartbeatReply: &wire.HeartbeatReply{
+		Sequence: 1 << 40, Incarnation: 1 << 40, Epoch: 1 << 20, Age: int64(time.Second),
+	}}}
+	near := start(b, "a", func(c *peer.Config) {
+		c.Receive = func(id.Instance, *wire.Envelope) { answered <- struct{}{} }
+	})
+	var far *instance
+	far = start(b, "b", func(c *peer.Config) {
+		c.Receive = func(id.Instance, *wire.Envelope) { far.Send("a", reply) }
+	})
+	near.SetPeers(members(far))
+	linked(b, near, far)
+	bytes := near.count("written") + far.count("written")
+	processor := processorTime(b)
+	exchanges := 0
+	for b.Loop() {
+		near.Send("b", heartbeat)
+		<-answered
+		exchanges++
+	}
+	b.ReportMetric(float64(processorTime(b)-processor)/float64(exchanges), "cpu-ns/op")
+	b.ReportMetric(float64(near.count("written")+far.count("written")-bytes)/float64(exchanges), "wire-B/op")
+}
+
+// Measures the memory of one end of an idle session, with its goroutines.
+func BenchmarkIdleSession(b *testing.B) {
+	const sessions = 100
+	memory := func() uint64 {
+		runtime.GC()
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return stats.HeapAlloc + stats.StackInuse
+	}
+	for b.Loop() {
+		hub := start(b, "hub", nil)
+		var spokes []*instance
+		for number := range sessions {
+			spokes = append(spokes, start(b, id.Instance(fmt.Sprintf("spoke-%d", number)), nil))
+		}
+		before, goroutines := memory(), runtime.NumGoroutine()
+		for _, s := range spokes {
+			s.SetPeers(members(hub))
+		}
+		eventually(b, func() bool { return hub.count("sessions") == sessions && hub.count("handshakes") == 0 }, "sessions")
+		b.ReportMetric(float64(memory()-before)/(2*sessions), "B/session-end")
+		b.ReportMetric(float64(runtime.NumGoroutine()-goroutines)/(2*sessions), "goroutines/session-end")
+		for _, s := range spokes {
+			s.Close()
+		}
+		hub.Close()
+	}
+}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -88,7 +88,7 @@
 	}
 }
 
-// Send queues m for the peer and never blocks. The node owns m from then on.
+// Send queues m for the peer and never blocks. The same m may be sent to several peers but not be changed any more.
 //
 // Without a session, or when the peer's queue is full, m is dropped and counted. A heartbeat, a reply to one or an
 // announcement takes the place of one that still waits.
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -179,8 +179,10 @@
 	eventually(t, func() bool { return a.connected(stuck) && a.connected(c) }, "sessions")
 	large := &wire.Envelope{Payload: &wire.Envelope_LoanReply{LoanReply: &wire.LoanReply{Limit: string(make([]byte, 100<<10))}}}
 	for number := range uint64(2000) {
+		shared := loan(number)
 		a.Send("b", large)
-		a.Send("c", loan(number))
+		a.Send("b", shared)
+		a.Send("c", shared)
 		if number%100 == 99 {
 			eventually(t, func() bool { return len(c.received()) == int(number)+1 }, "messages to c")
 		}
