--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -40,6 +40,13 @@
 	if err != nil {
 		return nil, &ListenError{Address: config.Listen, Cause: err}
 	}
+	n := newNode(config, listener)
+	n.wait.Go(n.acceptLoop)
+	n.wait.Go(n.blockLoop)
+	return n, nil
+}
+
+func newNode(config Config, listener net.Listener) *Node {
 	n := &Node{
 		config:     config,
 		log:        config.Log.WithPrefix("peer"),
@@ -49,9 +56,7 @@
 		links:      make(map[id.Instance]*link),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.wait.Go(n.acceptLoop)
-	n.wait.Go(n.blockLoop)
-	return n, nil
+	return n
 }
 
 // Address returns the address that the node listens on.
@@ -83,7 +88,7 @@
 	}
 }
 
-// Send queues m for the peer and never blocks. The node owns m from then on.
+// Send queues m for the peer and never blocks. The same m may be sent to several peers but not be changed any more.
 //
 // Without a session, or when the peer's queue is full, m is dropped and counted. A heartbeat, a reply to one or an
 // announcement takes the place of one that still waits.
