Add retry rules, retry budget and crash suspects

Retries must not run a request twice or multiply the load on failing upstreams, and a request that crashes each upstream that runs it must not take down a fleet while its caller resends it.

Budget counts over a sliding window. Suspects keeps digests in flight at deaths and merges peers' reports without letting them prolong each other; in the simulation of three instances a poison request kills at most two upstreams and innocents are served on resend.

--- /dev/null
+++ b/retry/decide.go
@@ -0,0 +1,117 @@
+package retry
+
+import "time"
+
+// Failure is what is known of an attempt that gave no answer.
+type Failure interface{ failure() }
+
+// NothingSent means that no byte of the request was sent.
+type NothingSent struct{}
+
+// Shed means that the upstream reported that it did not run the request.
+type Shed struct{}
+
+// Broken means that the connection broke after a byte was sent; the request may have run.
+type Broken struct{}
+
+// TimedOut means that no answer came in time after a byte was sent; the request may have run.
+type TimedOut struct{}
+
+func (NothingSent) failure() {}
+func (Shed) failure()        {}
+func (Broken) failure()      {}
+func (TimedOut) failure()    {}
+
+// Attempt describes the attempt that failed.
+type Attempt struct {
+	// Number counts the attempts at this instance from 1.
+	Number int
+	// Limit bounds the attempts at this instance, by default 3.
+	Limit int
+	// Idempotent is true when the request's route allows it to run more than once.
+	Idempotent bool
+	// Deadline is the caller's deadline.
+	Deadline time.Time
+	// Foreign is true when another instance retries the request, which its Attempt header shows.
+	Foreign bool
+	// Suspect is true when the request's digest was in flight on an upstream that died.
+	Suspect bool
+	// MayHaveRun is true when an earlier attempt may have run; Again carries it to the next attempt.
+	MayHaveRun bool
+}
+
+const attemptLimit = 3
+
+// Verdict says what happens after a failed attempt.
+type Verdict interface{ verdict() }
+
+// Again allows one more attempt, which has been taken from the budget.
+type Again struct {
+	// Number and MayHaveRun belong to the next Attempt.
+	Number     int
+	MayHaveRun bool
+}
+
+// Stop forbids another attempt.
+type Stop struct {
+	Reason Reason
+	// MayHaveRun is false only when it is certain that no attempt ran, so that the caller may be told "not run".
+	MayHaveRun bool
+}
+
+func (Again) verdict() {}
+func (Stop) verdict()  {}
+
+// Reason tells why there is no further attempt.
+type Reason string
+
+// The reasons of Stop.
+const (
+	ReasonNotIdempotent Reason = "not idempotent"
+	ReasonSuspect       Reason = "suspect"
+	ReasonForeign       Reason = "foreign retry"
+	ReasonAttempts      Reason = "attempts"
+	ReasonDeadline      Reason = "deadline"
+	ReasonBudget        Reason = "budget"
+)
+
+// Decide applies the rules for retries to one failed attempt. The budget is charged only for Again.
+func Decide(now time.Time, f Failure, a Attempt, budget *Budget) Verdict {
+	mayHaveRun := a.MayHaveRun || ran(f)
+	if reason := forbidden(now, a, mayHaveRun); reason != "" {
+		return Stop{Reason: reason, MayHaveRun: mayHaveRun}
+	}
+	if !budget.Take(now) {
+		return Stop{Reason: ReasonBudget, MayHaveRun: mayHaveRun}
+	}
+	return Again{Number: a.Number + 1, MayHaveRun: mayHaveRun}
+}
+
+// ran reports whether the request may have run in an attempt that failed with f.
+func ran(f Failure) bool {
+	switch f.(type) {
+	case NothingSent, Shed:
+		return false
+	}
+	return true
+}
+
+func forbidden(now time.Time, a Attempt, mayHaveRun bool) Reason {
+	limit := a.Limit
+	if limit <= 0 {
+		limit = attemptLimit
+	}
+	switch {
+	case mayHaveRun && !a.Idempotent:
+		return ReasonNotIdempotent
+	case a.Suspect:
+		return ReasonSuspect
+	case a.Foreign:
+		return ReasonForeign
+	case a.Number >= limit:
+		return ReasonAttempts
+	case !now.Before(a.Deadline):
+		return ReasonDeadline
+	}
+	return ""
+}
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,231 @@
+package retry_test
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bluebellhold/id"
+	"bluebellhold/retry"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// Guards against a budget that differs from a count over the list of all attempts.
+func TestBudgetSameAsList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := retry.NewBudget(retry.BudgetConfig{})
+		now := start
+		var firsts, retries []int64
+		inWindow := func(list []int64, second int64) (count int) {
+			for _, at := range list {
+				if at > second-10 {
+					count++
+				}
+			}
+			return count
+		}
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 10, 300, 2000, 30_000}).Draw(t, "ms")) * time.Millisecond)
+			second := now.Unix()
+			for range rapid.IntRange(0, 12).Draw(t, "firsts") {
+				budget.First(now)
+				firsts = append(firsts, second)
+			}
+			allowed := inWindow(retries, second) < max(3, inWindow(firsts, second)/10)
+			require.Equal(t, allowed, budget.Take(now))
+			if allowed {
+				retries = append(retries, second)
+			}
+		}
+	})
+}
+
+// Guards against a second run of a request that may not be repeated, an untrue "not run", and a retry of a suspect,
+// after the deadline, on top of a foreign retry or without limit.
+func TestDecideNeverRepeatsARun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := retry.NewBudget(retry.BudgetConfig{Floor: rapid.IntRange(1, 4).Draw(t, "floor")})
+		now := start
+		a := retry.Attempt{
+			Number: 1, Idempotent: rapid.Bool().Draw(t, "idempotent"),
+			Deadline: start.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "seconds")) * time.Second),
+			Foreign:  rapid.IntRange(0, 4).Draw(t, "foreign") == 0, Suspect: rapid.IntRange(0, 4).Draw(t, "suspect") == 0,
+		}
+		ran := 0
+		for attempts := 1; ; attempts++ {
+			f := rapid.SampledFrom([]retry.Failure{
+				retry.NothingSent{}, retry.Shed{}, retry.Broken{}, retry.TimedOut{},
+			}).Draw(t, "failure")
+			if f == (retry.Broken{}) || f == (retry.TimedOut{}) {
+				ran++
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			switch v := retry.Decide(now, f, a, budget).(type) {
+			case retry.Again:
+				require.True(t, a.Idempotent || ran == 0)
+				require.False(t, a.Foreign || a.Suspect)
+				require.True(t, now.Before(a.Deadline))
+				require.Equal(t, attempts+1, v.Number)
+				a.Number, a.MayHaveRun = v.Number, v.MayHaveRun
+			case retry.Stop:
+				require.Equal(t, ran > 0, v.MayHaveRun)
+				require.NotEmpty(t, v.Reason)
+				return
+			}
+			require.Less(t, attempts, 3)
+		}
+	})
+}
+
+// Guards against a standing that differs from a count over the list of all deaths, and against unbounded memory.
+func TestStandingSameAsList(t *testing.T) {
+	type fact struct {
+		upstream id.Upstream
+		at       time.Time
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		s, small := retry.NewSuspects(retry.SuspectsConfig{}), retry.NewSuspects(retry.SuspectsConfig{Limit: 2, TellLimit: 1})
+		facts := map[id.Digest][]fact{}
+		distinct := func(d id.Digest, now time.Time) []id.Upstream {
+			var names []id.Upstream
+			for _, f := range facts[d] {
+				if now.Sub(f.at) < 10*time.Minute && !slices.Contains(names, f.upstream) {
+					names = append(names, f.upstream)
+				}
+			}
+			return names
+		}
+		now := start
+		for range 60 {
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{1, 60, 400}).Draw(t, "seconds")) * time.Second)
+			d := id.DigestOf([]byte{byte(rapid.IntRange(0, 2).Draw(t, "digest"))})
+			names := distinct(d, now)
+			switch rapid.SampledFrom([]string{"died", "died", "finished", "standing"}).Draw(t, "action") {
+			case "died":
+				u := id.Upstream(strconv.Itoa(rapid.IntRange(0, 5).Draw(t, "upstream")))
+				s.Died(now, u, []id.Digest{d})
+				small.Died(now, u, []id.Digest{d})
+				facts[d] = append(facts[d], fact{upstream: u, at: now})
+			case "finished":
+				s.Finished(now, d)
+				if len(names) < 2 {
+					delete(facts, d)
+				}
+			}
+			names = distinct(d, now)
+			switch len(names) {
+			case 0:
+				require.Equal(t, retry.Clear{}, s.Standing(now, d))
+			case 1:
+				require.Equal(t, retry.Suspect{Avoid: names}, s.Standing(now, d))
+			default:
+				last := facts[d][len(facts[d])-1].at
+				require.Equal(t, retry.Refused{Until: last.Add(10 * time.Minute)}, s.Standing(now, d))
+			}
+			require.LessOrEqual(t, small.Len(), 2)
+			require.LessOrEqual(t, len(small.Tell(now)), 1)
+		}
+	})
+}
+
+// fleet is three instances that exchange heartbeats, and upstreams that a poison request crashes.
+type fleet struct {
+	now       time.Time
+	instances []*retry.Suspects
+	died      []id.Upstream
+}
+
+const upstreams = 6
+
+// beat exchanges reports between all instances, delayed by up to 200 ms.
+func (f *fleet) beat(t *rapid.T) {
+	told := make([][]retry.Report, len(f.instances))
+	for i, s := range f.instances {
+		told[i] = s.Tell(f.now)
+	}
+	f.now = f.now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "delay")) * time.Millisecond)
+	for i, s := range f.instances {
+		for j, reports := range told {
+			for _, r := range reports {
+				if i != j {
+					s.Learn(f.now, r)
+				}
+			}
+		}
+	}
+}
+
+// send runs the request at one instance, beside others unless one of them is a suspect, and returns those answered.
+func (f *fleet) send(t *rapid.T, poison, first id.Digest, beside []id.Digest) []id.Digest {
+	s := f.instances[rapid.IntRange(0, len(f.instances)-1).Draw(t, "instance")]
+	together := []id.Digest{first}
+	var avoid []id.Upstream
+	switch standing := s.Standing(f.now, first).(type) {
+	case retry.Refused:
+		return nil
+	case retry.Suspect:
+		avoid = standing.Avoid
+	case retry.Clear:
+		for _, d := range beside {
+			if s.Standing(f.now, d) == (retry.Clear{}) {
+				together = append(together, d)
+			}
+		}
+	}
+	var choices []id.Upstream
+	for i := range upstreams {
+		if u := id.Upstream(strconv.Itoa(i)); !slices.Contains(avoid, u) {
+			choices = append(choices, u)
+		}
+	}
+	upstream := rapid.SampledFrom(choices).Draw(t, "upstream")
+	if slices.Contains(together, poison) {
+		s.Died(f.now, upstream, together)
+		f.died = append(f.died, upstream)
+		return nil
+	}
+	for _, d := range together {
+		s.Finished(f.now, d)
+	}
+	return together
+}
+
+// Guards against a crashing request that is sent again and again killing more than two upstreams, against an innocent
+// request beside it that is never served, and against peers that prolong a refusal by telling it to each other.
+func TestPoisonKillsAtMostTwo(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{now: start}
+		for range 3 {
+			f.instances = append(f.instances, retry.NewSuspects(retry.SuspectsConfig{}))
+		}
+		poison := id.DigestOf([]byte("poison"))
+		for i := range 40 {
+			beside := []id.Digest{id.DigestOf([]byte{byte(i), 1}), id.DigestOf([]byte{byte(i), 2})}
+			answered := f.send(t, poison, poison, beside)
+			f.beat(t)
+			for _, d := range beside {
+				if !slices.Contains(answered, d) {
+					others := []id.Digest{id.DigestOf([]byte{byte(i), 3})}
+					require.Contains(t, f.send(t, poison, d, others), d, "an innocent request is not served")
+				}
+			}
+			f.beat(t)
+			f.now = f.now.Add(time.Duration(rapid.IntRange(0, 9000).Draw(t, "pause")) * time.Millisecond)
+		}
+		require.LessOrEqual(t, len(f.died), 2)
+		last := f.now
+		for f.now.Sub(last) < 12*time.Minute {
+			f.beat(t)
+			f.now = f.now.Add(10 * time.Second)
+		}
+		for _, s := range f.instances {
+			require.Equal(t, retry.Clear{}, s.Standing(f.now, poison))
+			require.Empty(t, s.Tell(f.now))
+		}
+	})
+}
