Reset the claim backoff after a quiet time and test resolved claims

Single lost answers hours apart added up to the full backoff, because only a committed write reset it. Ten seconds without a failure now reset it too.

Trials on a scratch copy showed that the stateful test accepts a new claimant id after a lost answer: it never runs twice but gives the claim away. A test of a lost and of a late write now fails for that, and for a dispatch deadline taken from another write than the one that took effect.

--- a/claim/book_test.go
+++ b/claim/book_test.go
@@ -262,3 +262,30 @@
 		require.IsType(t, claim.Won{}, w.outcomes[r])
 	}
 }
+
+// Guards against a claim that is given away because the answer to its write was lost, and against a dispatch deadline
+// that belongs to another write than the one that took effect.
+func TestLostAnswerIsWonByItsOwnWrite(t *testing.T) {
+	w := newWorld(t, 0)
+	n := w.nodes[0]
+	lost := w.want(n, "lost", digestFor("lost"), time.Minute)
+	w.execute(0, faultLost)
+	w.drain()
+	require.Equal(t, claim.Won{DispatchBy: start.Add(config.DispatchLimit)}, w.outcomes[lost])
+	require.Equal(t, 1, w.writes)
+
+	w.now = w.now.Add(time.Minute)
+	sent := w.now
+	late := w.want(n, "late", digestFor("late"), time.Minute)
+	w.execute(0, faultLate)
+	w.deliver(n, 0)
+	w.execute(0, faultNone)
+	w.now = w.now.Add(2 * time.Second)
+	w.deliver(n, 0)
+	// The second write is in flight when the first one takes effect.
+	w.transact(w.late[0])
+	w.drain()
+	require.Equal(t, claim.Won{DispatchBy: sent.Add(config.DispatchLimit)}, w.outcomes[late])
+	require.Equal(t, 2, w.writes)
+	w.dispatch(n, late, false, "answer")
+}
--- a/claim/config.go
+++ b/claim/config.go
@@ -38,6 +38,8 @@
 	// The first retry after a failure is immediate, because a single lost answer is the common case.
 	backoffBase = 50 * time.Millisecond
 	backoffMax  = time.Second
+	// A read that succeeds does not show that writes succeed, so only time or a write ends the backoff.
+	backoffReset = 10 * time.Second
 )
 
 func (c Config) withDefaults() Config {
--- a/claim/group.go
+++ b/claim/group.go
@@ -162,8 +162,11 @@
 	b.emit(ReadRows{ID: f.id, Names: names})
 }
 
-// failed delays the next call to the table, except after a first failure.
+// failed delays the next call to the table, except after a first failure in a while.
 func (b *Book) failed(now time.Time) {
+	if now.Sub(b.holdUntil) > backoffReset {
+		b.failures = 0
+	}
 	b.failures++
 	b.holdUntil = now.Add(b.backoff(b.failures - 1))
 }
