Index the instances that answers are made of

Rank sorted all instances for each answer: 3.7 ms for 5,200 instances, which is two cores at the 520 look-ups a second that each of them must serve in two years.

Gather indexes the live instances by region once per membership view. Rank visits only the regions that the answer names and keeps only as many instances as there is room for: 14 us for 7 of 5,200 instances and 2.8 us for 7 of 7 (1.4 us before).

--- a/lookup/example_test.go
+++ b/lookup/example_test.go
@@ -31,15 +31,18 @@
 }
 
 func ExampleRank() {
-	fmt.Println(lookup.Rank([]lookup.Candidate{
+	candidates := lookup.Gather([]lookup.Member{
 		{Instance: "far", Region: "inland", Live: true},
-		{Instance: "far-home", Region: "willamette", Live: true, Home: true},
+		{Instance: "far-home", Region: "willamette", Live: true},
 		{Instance: "near", Region: "puget", Live: true},
-		{Instance: "near-home", Region: "puget", Live: true, Home: true},
-		{Instance: "leaving", Region: "puget", Home: true},
-	}, lookup.Client{Region: "puget", Distances: map[id.Region]time.Duration{
-		"willamette": 35 * time.Millisecond, "inland": 35 * time.Millisecond,
-	}}))
+		{Instance: "near-home", Region: "puget", Live: true},
+		{Instance: "leaving", Region: "puget"},
+	})
+	fmt.Println(lookup.Rank(candidates, lookup.Client{
+		Region:    "puget",
+		Home:      []id.Instance{"far-home", "near-home", "leaving"},
+		Distances: map[id.Region]time.Duration{"willamette": 35 * time.Millisecond, "inland": 35 * time.Millisecond},
+	}))
 	// Output:
 	// [near-home near far-home far]
 }
--- a/lookup/lookup_test.go
+++ b/lookup/lookup_test.go
@@ -150,49 +150,52 @@
 func TestRankOrder(t *testing.T) {
 	regions := []id.Region{"a", "b", "c", "d"}
 	distances := map[id.Region]time.Duration{"b": 35, "c": 70}
-	class := func(c lookup.Candidate) int {
-		far := slices.Index(regions, c.Region)
-		if c.Home {
-			return min(far, 1)*10 + far
-		}
-		return min(far, 1)*20 + far*2 + 1
-	}
 	rapid.Check(t, func(t *rapid.T) {
-		var candidates []lookup.Candidate
+		var members []lookup.Member
+		client := lookup.Client{Region: "a", Distances: distances, Seed: rapid.Uint64().Draw(t, "seed")}
 		classes := map[id.Instance]int{}
-		for i := range rapid.IntRange(0, 20).Draw(t, "count") {
-			c := lookup.Candidate{
-				Instance: id.Instance(strconv.Itoa(i)), Region: rapid.SampledFrom(regions).Draw(t, "region"),
-				Live: rapid.Bool().Draw(t, "live"), Home: rapid.Bool().Draw(t, "home"),
+		for i := range rapid.IntRange(0, 90).Draw(t, "count") {
+			far := rapid.SampledFrom([]int{0, 0, 1, 2, 3, 3}).Draw(t, "region")
+			m := lookup.Member{Instance: id.Instance(strconv.Itoa(i)), Region: regions[far], Live: rapid.Bool().Draw(t, "live")}
+			members = append(members, m)
+			class := 20*min(far, 1) + 2*far + 1
+			if rapid.Bool().Draw(t, "home") {
+				client.Home = append(client.Home, m.Instance)
+				class = 10*min(far, 1) + far
 			}
-			candidates = append(candidates, c)
-			if c.Live {
-				classes[c.Instance] = class(c)
+			if m.Live {
+				classes[m.Instance] = class
 			}
 		}
-		client := lookup.Client{Region: "a", Distances: distances, Seed: rapid.Uint64().Draw(t, "seed")}
-		order := lookup.Rank(candidates, client)
+		order := lookup.Rank(lookup.Gather(members), client)
 		require.ElementsMatch(t, slices.Collect(maps.Keys(classes)), order)
 		require.True(t, slices.IsSortedFunc(order, func(x, y id.Instance) int { return classes[x] - classes[y] }))
-		require.Equal(t, order, lookup.Rank(rapid.Permutation(candidates).Draw(t, "permuted"), client))
+		permuted := lookup.Gather(rapid.Permutation(members).Draw(t, "permuted"))
+		require.Equal(t, order, lookup.Rank(permuted, client))
 		client.Limit = 3
-		require.Equal(t, order[:min(3, len(order))], lookup.Rank(candidates, client))
+		require.Equal(t, order[:min(3, len(order))], lookup.Rank(permuted, client))
 	})
 }
 
 // Guards against callers that all get the same first instance.
 func TestRankSpreads(t *testing.T) {
-	var candidates []lookup.Candidate
-	for i := range 4 {
-		candidates = append(candidates, lookup.Candidate{Instance: id.Instance(strconv.Itoa(i)), Region: "a", Live: true})
-	}
+	candidates := lookup.Gather(fleetMembers(4, 1))
 	firsts := map[id.Instance]int{}
 	for seed := range uint64(4000) {
-		firsts[lookup.Rank(candidates, lookup.Client{Region: "a", Seed: seed})[0]]++
+		firsts[lookup.Rank(candidates, lookup.Client{Region: "0", Seed: seed})[0]]++
+	}
+	require.Len(t, firsts, 4)
+	for _, count := range firsts {
+		require.InDelta(t, 1000, count, 150)
 	}
-	for _, c := range candidates {
-		require.InDelta(t, 1000, firsts[c.Instance], 150)
+}
+
+func fleetMembers(count, regions int) (members []lookup.Member) {
+	for i := range count {
+		name, region := id.Instance("entry-"+strconv.Itoa(i)), id.Region(strconv.Itoa(i%regions))
+		members = append(members, lookup.Member{Instance: name, Region: region, Live: true})
 	}
+	return members
 }
 
 // fleetBlocks returns distinct blocks of 690 sites, three quarters of them IPv4, and an address in each that no longer
@@ -269,3 +272,15 @@
 		require.NoError(b, err)
 	}
 }
+
+func BenchmarkRank(b *testing.B) {
+	for _, count := range []int{7, 5200} {
+		candidates := lookup.Gather(fleetMembers(count, 12))
+		b.Run(strconv.Itoa(count), func(b *testing.B) {
+			for i := range b.N {
+				client := lookup.Client{Region: "3", Home: []id.Instance{"entry-3", "entry-4"}, Seed: uint64(i), Limit: 7}
+				lookup.Rank(candidates, client)
+			}
+		})
+	}
+}
--- a/lookup/rank.go
+++ b/lookup/rank.go
@@ -5,24 +5,14 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"bluebellhold/id"
 )
 
-// Candidate is an instance as the membership view shows it.
-type Candidate struct {
-	Instance id.Instance
-	Region   id.Region
-	// Live is false for an instance that is suspected, gone or leaving; it is left out.
-	Live bool
-	// Home is true for a home instance of the organisation.
-	Home bool
-}
-
 // Client describes who asks.
 type Client struct {
 	Region id.Region
+	// Home lists the home instances of the client's organisation; those that are not live are left out.
+	Home []id.Instance
 	// Distances gives the delay from the client's region to others; regions without one come last.
 	Distances map[id.Region]time.Duration
 	// Seed spreads clients over equally good instances; one that is fixed per client keeps its connections useful.
@@ -31,77 +21,153 @@
 	Limit int
 }
 
-// The tiers of an answer.
-const (
-	tierHomeNear = iota
-	tierNear
-	tierHomeFar
-	tierFar
-)
+// farthest stands for the distance of a region that is not known.
+const farthest = time.Duration(1<<63 - 1)
 
-type rank struct {
-	tier     int
+// ranking is an answer that is being put together.
+type ranking struct {
+	candidates *Candidates
+	client     Client
+	limit      int
+	order      []id.Instance
+	buffer     []ranked
+	// cut is true once the buffer was cut, so that its first entries, as many as there is room for, are in order.
+	cut bool
+}
+
+type ranked struct {
+	instance id.Instance
 	distance time.Duration
 	spread   uint64
-	instance id.Instance
 }
 
-// farthest stands for the distance of a region that is not known.
-const farthest = time.Duration(1<<63 - 1)
-
 // Rank returns the instances in the order in which the client should ask them: home instances in its region, others
 // in its region, home instances elsewhere, and the rest, the last two by distance. Equals are ordered by the seed.
-func Rank(candidates []Candidate, c Client) []id.Instance {
-	ranks := make([]rank, 0, len(candidates))
-	for _, x := range candidates {
-		if x.Live {
-			ranks = append(ranks, rankOf(x, c))
+func Rank(candidates *Candidates, client Client) []id.Instance {
+	r := ranking{candidates: candidates, client: client, limit: client.Limit}
+	if r.limit <= 0 || r.limit > candidates.Len() {
+		r.limit = candidates.Len()
+	}
+	r.order = make([]id.Instance, 0, r.limit)
+	r.homes(true)
+	r.others([]id.Region{client.Region})
+	r.homes(false)
+	for _, group := range r.elsewhere() {
+		r.others(group)
+	}
+	return r.order
+}
+
+// homes adds the home instances that are, or are not, in the client's region.
+func (r *ranking) homes(near bool) {
+	if r.full() {
+		return
+	}
+	for _, instance := range r.client.Home {
+		region, live := r.candidates.located[instance]
+		if live && near == (region == r.client.Region) {
+			r.collect(candidateOf(instance), r.distance(region))
 		}
 	}
-	slices.SortFunc(ranks, func(x, y rank) int {
-		return cmp.Or(
-			cmp.Compare(x.tier, y.tier), cmp.Compare(x.distance, y.distance),
-			cmp.Compare(x.spread, y.spread), cmp.Compare(x.instance, y.instance),
-		)
-	})
-	if c.Limit > 0 && len(ranks) > c.Limit {
-		ranks = ranks[:c.Limit]
+	r.flush()
+}
+
+// others adds the instances of regions at one distance, except the home instances.
+func (r *ranking) others(regions []id.Region) {
+	if r.full() {
+		return
 	}
-	order := make([]id.Instance, 0, len(ranks))
-	for _, r := range ranks {
-		order = append(order, r.instance)
+	for _, region := range regions {
+		for _, c := range r.candidates.regions[region] {
+			if !slices.Contains(r.client.Home, c.instance) {
+				r.collect(c, 0)
+			}
+		}
 	}
-	return order
+	r.flush()
 }
 
-func rankOf(x Candidate, c Client) rank {
-	r := rank{instance: x.Instance, spread: spread(c.Seed, x.Instance)}
-	near := x.Region == c.Region
-	switch {
-	case near && x.Home:
-		r.tier = tierHomeNear
-	case near:
-		r.tier = tierNear
-	case x.Home:
-		r.tier = tierHomeFar
-	default:
-		r.tier = tierFar
+// elsewhere returns the regions other than the client's, nearest first, with those at one distance in a group.
+func (r *ranking) elsewhere() [][]id.Region {
+	if r.full() {
+		return nil
 	}
-	if near {
-		return r
+	regions := slices.DeleteFunc(slices.Clone(r.candidates.order), func(x id.Region) bool {
+		return x == r.client.Region
+	})
+	slices.SortStableFunc(regions, func(x, y id.Region) int {
+		return cmp.Compare(r.distance(x), r.distance(y))
+	})
+	var groups [][]id.Region
+	for len(regions) > 0 {
+		n := 1
+		for n < len(regions) && r.distance(regions[n]) == r.distance(regions[0]) {
+			n++
+		}
+		groups = append(groups, regions[:n])
+		regions = regions[n:]
+	}
+	return groups
+}
+
+func (r *ranking) distance(region id.Region) time.Duration {
+	if region == r.client.Region {
+		return 0
 	}
-	distance, known := c.Distances[x.Region]
+	distance, known := r.client.Distances[region]
 	if !known {
-		distance = farthest
+		return farthest
+	}
+	return distance
+}
+
+func (r *ranking) full() bool {
+	return r.room() == 0
+}
+
+// collect keeps an instance for flush. Of many it keeps only about as many as there is room for, because an answer
+// names few instances of a region that has hundreds.
+func (r *ranking) collect(c candidate, distance time.Duration) {
+	x := ranked{instance: c.instance, distance: distance, spread: c.spread(r.client.Seed)}
+	if r.cut && compare(x, r.buffer[r.room()-1]) > 0 {
+		return
 	}
-	r.distance = distance
-	return r
+	r.buffer = append(r.buffer, x)
+	if len(r.buffer) >= 2*r.room()+bufferSlack {
+		r.sort()
+		r.cut = true
+	}
+}
+
+// bufferSlack keeps short answers from being sorted for each instance that is collected.
+const bufferSlack = 16
+
+// room returns how many instances the answer still takes; it is at least one while anything is collected.
+func (r *ranking) room() int {
+	return r.limit - len(r.order)
+}
+
+// sort puts the collected instances in order and drops those that the answer has no room for.
+func (r *ranking) sort() {
+	slices.SortFunc(r.buffer, compare)
+	r.buffer = r.buffer[:min(len(r.buffer), r.room())]
 }
 
-// spread is a hash of the pair, so that the order among equals hardly changes when an instance comes or goes.
-func spread(seed uint64, instance id.Instance) uint64 {
-	h := xxhash.NewWithSeed(seed)
-	// Writing to a hash never fails.
-	_, _ = h.WriteString(string(instance))
-	return h.Sum64()
+func compare(x, y ranked) int {
+	switch {
+	case x.distance != y.distance:
+		return cmp.Compare(x.distance, y.distance)
+	case x.spread != y.spread:
+		return cmp.Compare(x.spread, y.spread)
+	}
+	return cmp.Compare(x.instance, y.instance)
+}
+
+// flush appends the collected instances to the answer.
+func (r *ranking) flush() {
+	r.sort()
+	for _, x := range r.buffer {
+		r.order = append(r.order, x.instance)
+	}
+	r.buffer, r.cut = r.buffer[:0], false
 }
