Retry what is left of a failed group without newcomers

A group fails as a whole when one of its rows exists. Callers that kept asking for existing rows could so make each group fail, and no claim would ever commit. What is left of a failed group now goes alone.

The simulation also checks that a settled answer or deletion is in the table.

--- a/claim/book.go
+++ b/claim/book.go
@@ -21,9 +21,11 @@
 	cells     map[string]*cell
 	deadlines deadlines
 
+	// again holds the cells that are left of the last group, queue the newcomers and clears the expired rows.
+	again  []*cell
 	queue  []*cell
 	clears []*cell
-	// queueGone counts the cells in queue that no longer need a write.
+	// queueGone counts the cells in again and queue that no longer need a write.
 	queueGone int
 	flight    *flight
 	// holdUntil delays the next call to the table after failures.
--- a/claim/book_test.go
+++ b/claim/book_test.go
@@ -1,7 +1,6 @@
 package claim_test
 
 import (
-	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -66,8 +65,7 @@
 	case "land":
 		if len(w.late) > 0 {
 			i := rapid.IntRange(0, len(w.late)-1).Draw(t, "late")
-			w.transact(w.late[i])
-			w.late = slices.Delete(w.late, i, i+1)
+			w.land(i)
 		}
 	}
 }
@@ -263,9 +261,27 @@
 	w.now = w.now.Add(2 * time.Second)
 	w.deliver(n, 0)
 	// The second write is in flight when the first one takes effect.
-	w.transact(w.late[0])
+	w.land(0)
 	w.drain()
 	require.Equal(t, claim.Won{DispatchBy: sent.Add(config.DispatchLimit)}, late.outcome)
 	require.Equal(t, 2, w.writes)
 	w.dispatch(late, false, "answer")
 }
+
+// Guards against callers that ask again for rows that exist making every group fail, so that nothing commits.
+func TestRepeatsDoNotStarveClaims(t *testing.T) {
+	w := newWorld(t, 0, 0)
+	for i := range 9 {
+		w.want(w.nodes[0], strconv.Itoa(i), "content", time.Minute)
+	}
+	w.drain()
+	n := w.nodes[1]
+	w.want(n, "0", "content", time.Minute)
+	fresh := w.want(n, "fresh", "content", time.Minute)
+	for i := range 3 {
+		w.want(n, strconv.Itoa(i+1), "content", time.Minute)
+		w.execute(0, faultNone)
+		w.deliver(n, 0)
+	}
+	require.IsType(t, claim.Won{}, fresh.outcome)
+}
--- a/claim/group.go
+++ b/claim/group.go
@@ -39,9 +39,11 @@
 }
 
 // transact sends the next group; completions and claims go first, expired rows fill up the group.
+//
+// What is left of a failed group goes without newcomers. Otherwise callers that keep asking for rows that exist could
+// make each group fail, and nothing would ever commit.
 func (b *Book) transact(now time.Time) {
-	group := b.take(&b.queue, nil)
-	group = b.take(&b.clears, group)
+	group := b.next()
 	if len(group) == 0 {
 		return
 	}
@@ -59,6 +61,13 @@
 	b.emit(Transact{ID: f.id, Transaction: t})
 }
 
+func (b *Book) next() []*cell {
+	if group := b.take(&b.again, nil); len(group) > 0 {
+		return group
+	}
+	return b.take(&b.clears, b.take(&b.queue, nil))
+}
+
 // take moves cells from the front of queue to group until the group is full.
 func (b *Book) take(queue *[]*cell, group []*cell) []*cell {
 	i := 0
@@ -77,10 +86,11 @@
 
 // compact drops unused cells, which would otherwise pile up in the queue during an outage.
 func (b *Book) compact() {
-	if b.queueGone*2 <= len(b.queue) {
+	if b.queueGone*2 <= len(b.again)+len(b.queue) {
 		return
 	}
-	b.queue = slices.DeleteFunc(b.queue, func(c *cell) bool { return c.stage == stageGone })
+	gone := func(c *cell) bool { return c.stage == stageGone }
+	b.again, b.queue = slices.DeleteFunc(b.again, gone), slices.DeleteFunc(b.queue, gone)
 	b.queueGone = 0
 }
 
@@ -138,7 +148,7 @@
 
 // land decides the cells of the flight from their rows; those that need another write go before the queue.
 func (b *Book) land(now time.Time, rows []platform.Row, committed bool) {
-	f, later := b.flight, b.queue
+	f, newcomers := b.flight, b.queue
 	b.flight, b.queue = nil, nil
 	for i, c := range f.cells {
 		c.flying = false
@@ -148,7 +158,7 @@
 			b.resolve(now, c, rows[i])
 		}
 	}
-	b.queue = append(b.queue, later...)
+	b.again, b.queue = append(b.again, b.queue...), newcomers
 }
 
 // read asks for the rows of a group whose transaction's result is not known.
--- a/claim/world_test.go
+++ b/claim/world_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"reflect"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -60,6 +61,8 @@
 	outcome claim.Outcome
 	by      time.Time
 	answer  claim.Answer
+	// claimant is the claimant id in the row when the request was won.
+	claimant string
 	// ranAt is when the upstream ran it, and notRun is true when the caller was told that it did not run.
 	ranAt  time.Time
 	notRun bool
@@ -67,13 +70,15 @@
 
 // world simulates instances, store, callers and the upstream, and checks what must hold at each step.
 type world struct {
-	t        require.TestingT
-	store    platform.Memory
-	now      time.Time
-	down     bool
-	nodes    []*node
-	calls    []call
-	late     []platform.Transaction
+	t     require.TestingT
+	store platform.Memory
+	now   time.Time
+	down  bool
+	nodes []*node
+	calls []call
+	late  []platform.Transaction
+	// landed holds the values of the late writes that took effect.
+	landed   string
 	requests []*request
 	books    id.Incarnation
 	writes   int
@@ -121,11 +126,7 @@
 		case claim.Decided:
 			w.decided(w.requests[effect.Request-1], effect.Outcome)
 		case claim.Settled:
-			r := w.requests[effect.Request-1]
-			// Only a run that outlives its row's lifetime finds the row cleared and claimed by another.
-			require.False(w.t, effect.Lost && w.now.Sub(r.ranAt) < 72*time.Hour, "answer lost")
-			require.Equal(w.t, settling, r.phase, "settled twice or without cause")
-			r.phase = over
+			w.settled(w.requests[effect.Request-1], effect.Lost)
 		default:
 			w.calls = append(w.calls, call{from: n, effect: effect})
 		}
@@ -143,7 +144,7 @@
 	switch o := o.(type) {
 	case claim.Won:
 		require.True(w.t, w.clock(r.node).Before(o.DispatchBy), "won too late to dispatch")
-		r.phase, r.by = won, o.DispatchBy
+		r.phase, r.by, r.claimant = won, o.DispatchBy, w.row(r).Claimant
 	case claim.Replay:
 		w.replayed(r, o.Answer)
 	case claim.Unavailable:
@@ -191,7 +192,9 @@
 		again := other.Key == r.Key && !other.ranAt.IsZero() && w.now.Sub(other.ranAt) < 72*time.Hour
 		require.False(w.t, again, "second run of %s", r.Key)
 	}
-	w.inForce(r)
+	row := w.row(r)
+	require.Equal(w.t, "claimed "+r.claimant, row.State+" "+row.Claimant)
+	require.LessOrEqual(w.t, w.clock(r.node).UnixMilli(), row.Deadline, "dispatch after the row's dispatch deadline")
 	r.phase, r.ranAt = running, w.now
 	r.answer = claim.Answer{Status: 201, Header: map[string][]string{"Number": {body}}, Body: []byte(body)}
 }
@@ -203,18 +206,38 @@
 	w.reduce(r.node, e)
 }
 
-// inForce checks that the row that permits the dispatch is in the table and that its dispatch deadline is not past.
-func (w *world) inForce(r *request) {
+type row struct {
+	State, Claimant string
+	Deadline        int64
+}
+
+// row returns the row of r's key, or the zero row.
+func (w *world) row(r *request) (value row) {
 	name := "claim/school/draw/%2Fdraws/" + id.DigestOf([]byte(r.Key)).String()
 	rows, err := w.store.Read(context.Background(), []string{name})
 	require.NoError(w.t, err)
-	var row struct {
-		State    string
-		Deadline int64
+	if rows[0].Version != 0 {
+		require.NoError(w.t, json.Unmarshal(rows[0].Value, &value))
+	}
+	return value
+}
+
+// settled checks that the answer, or the deletion of the claim, is durable.
+func (w *world) settled(r *request, lost bool) {
+	require.Equal(w.t, settling, r.phase, "settled twice or without cause")
+	r.phase = over
+	row := w.row(r)
+	if r.notRun {
+		// A late write may restore a row that was deleted; nobody runs it.
+		restored := strings.Contains(w.landed, r.claimant)
+		require.True(w.t, r.claimant == "" || restored || row.Claimant != r.claimant, "the claim is still there")
+		return
+	}
+	// Only a run that outlives its row's lifetime finds the row cleared or claimed by another.
+	if w.now.Sub(r.ranAt) < 72*time.Hour {
+		require.False(w.t, lost, "answer lost")
+		require.Equal(w.t, "done "+r.claimant, row.State+" "+row.Claimant)
 	}
-	require.NoError(w.t, json.Unmarshal(rows[0].Value, &row), "dispatch without a row")
-	require.Equal(w.t, "claimed", row.State)
-	require.LessOrEqual(w.t, w.clock(r.node).UnixMilli(), row.Deadline, "dispatch after the row's dispatch deadline")
 }
 
 func (w *world) finish(r *request, abandon bool) {
@@ -288,6 +311,15 @@
 	return result
 }
 
+// land lets the late transaction i take effect.
+func (w *world) land(i int) {
+	for _, write := range w.late[i].Writes {
+		w.landed += string(write.Value)
+	}
+	w.transact(w.late[i])
+	w.late = slices.Delete(w.late, i, i+1)
+}
+
 func (w *world) deliver(n *node, i int) {
 	e := n.inbox[i]
 	n.inbox = slices.Delete(n.inbox, i, i+1)
@@ -316,8 +348,8 @@
 // heal ends all faults, finishes all requests and checks that nothing stays behind.
 func (w *world) heal() {
 	w.down = false
-	for _, t := range w.late {
-		w.transact(t)
+	for len(w.late) > 0 {
+		w.land(0)
 	}
 	for range 6 {
 		for _, n := range w.nodes {
