Test answers of regions with many instances

Coverage showed that no test reached the cut of a region's instances to the room that is left. The drawn fleets now have up to 200 instances.

--- a/lookup/lookup_test.go
+++ b/lookup/lookup_test.go
@@ -46,21 +46,20 @@
 	return p
 }
 
-func drawBlock(t *rapid.T) lookup.Block {
-	return lookup.Block{Prefix: drawPrefix(t), Site: id.Site(strconv.Itoa(rapid.IntRange(0, 9).Draw(t, "site")))}
+// drawBlocks draws blocks with different prefixes.
+func drawBlocks(t *rapid.T, most int) []lookup.Block {
+	block := rapid.Custom(func(t *rapid.T) lookup.Block {
+		return lookup.Block{Prefix: drawPrefix(t), Site: id.Site(strconv.Itoa(rapid.IntRange(0, 9).Draw(t, "site")))}
+	})
+	return rapid.SliceOfNDistinct(block, 0, most, func(b lookup.Block) netip.Prefix { return b.Prefix }).Draw(t, "blocks")
 }
 
 // Guards against a wrong longest prefix, and against a delta that changes the table that it was applied to.
 func TestFindSameAsScan(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		model := map[netip.Prefix]id.Site{}
-		var blocks []lookup.Block
-		for range rapid.IntRange(0, 40).Draw(t, "blocks") {
-			b := drawBlock(t)
-			if _, present := model[b.Prefix]; !present {
-				model[b.Prefix] = b.Site
-				blocks = append(blocks, b)
-			}
+		blocks, model := drawBlocks(t, 40), map[netip.Prefix]id.Site{}
+		for _, b := range blocks {
+			model[b.Prefix] = b.Site
 		}
 		table, err := lookup.Build(blocks)
 		require.NoError(t, err)
@@ -78,21 +77,17 @@
 		}
 		check(table, model)
 
-		changed := map[netip.Prefix]id.Site{}
+		changed := maps.Clone(model)
 		var delta lookup.Delta
 		for _, b := range blocks {
 			if rapid.IntRange(0, 3).Draw(t, "remove") == 0 {
 				delta.Remove = append(delta.Remove, b.Prefix)
-				continue
+				delete(changed, b.Prefix)
 			}
-			changed[b.Prefix] = b.Site
 		}
-		for range rapid.IntRange(0, 10).Draw(t, "puts") {
-			b := drawBlock(t)
-			if !slices.ContainsFunc(delta.Put, func(x lookup.Block) bool { return x.Prefix == b.Prefix }) {
-				delta.Put = append(delta.Put, b)
-				changed[b.Prefix] = b.Site
-			}
+		delta.Put = drawBlocks(t, 10)
+		for _, b := range delta.Put {
+			changed[b.Prefix] = b.Site
 		}
 		next, err := table.Apply(delta)
 		require.NoError(t, err)
@@ -154,7 +149,7 @@
 		var members []lookup.Member
 		client := lookup.Client{Region: "a", Distances: distances, Seed: rapid.Uint64().Draw(t, "seed")}
 		classes := map[id.Instance]int{}
-		for i := range rapid.IntRange(0, 90).Draw(t, "count") {
+		for i := range rapid.SampledFrom([]int{0, 1, 7, 20, 200}).Draw(t, "count") {
 			far := rapid.SampledFrom([]int{0, 0, 1, 2, 3, 3}).Draw(t, "region")
 			m := lookup.Member{Instance: id.Instance(strconv.Itoa(i)), Region: regions[far], Live: rapid.Bool().Draw(t, "live")}
 			members = append(members, m)
