Check what could be spent and recovery after faults in allotment

The simulation now counts what could be spent at once as spent, alternates busy and quiet load, and demands that live instances hold every limit whole after all faults have ended.

The rule that a restarted instance waits one term before it acts as a witness follows from forgetting other leases at the start of a tenure, so the separate deadline is removed. The fields that each Take reads are next to each other in the account.

--- a/allotment/account.go
+++ b/allotment/account.go
@@ -8,13 +8,39 @@
 )
 
 // account is what this instance holds of one limit.
+//
+// The fields that every Take reads come first, so that it touches few cache lines among thousands of limits.
 type account struct {
+	// capacity is the burst or the whole slots of the parts that count; perSecond is their refill rate.
+	capacity   id.Tokens
+	perSecond  id.TokensPerSecond
+	tokens     id.Tokens
+	filledAt   time.Time
+	lent       id.Tokens
+	used       id.Tokens
+	concurrent bool
+	withdrawn  bool
+	borrowing  []loan
+	demand     demand
+
+	lentNext  time.Time
+	lending   []lentLoan
+	lender    bool
+	requests  []loanRequest
+	borrower  bool
+	askAt     time.Time
+	askNext   int
 	limit     Limit
 	homes     []id.Instance
 	target    id.Parts
-	withdrawn bool
+	confirmed id.Parts
 
-	// row is the share row as last seen; rowAsked is the number of the table call that saw it.
+	// proposed is this instance's entry in a transaction that is not resolved. Until it is, only the smaller of the
+	// proposed and the confirmed entry counts.
+	proposed  id.Parts
+	proposing bool
+
+	// row is the share row as last seen. What a call numbered up to rowAsked shows of it is ignored.
 	row        shareRow
 	rowVersion uint64
 	rowAsked   uint64
@@ -23,31 +49,6 @@
 	queued     bool
 	tryAt      time.Time
 	pause      time.Duration
-
-	// confirmed is this instance's entry in the row. While a transaction with another entry is unresolved, only the
-	// smaller of both counts.
-	confirmed id.Parts
-	proposed  id.Parts
-	proposing bool
-
-	// capacity is the burst or the whole slots of the parts that count; perSecond is their refill rate.
-	capacity  id.Tokens
-	perSecond id.TokensPerSecond
-	tokens    id.Tokens
-	filledAt  time.Time
-	used      id.Tokens
-
-	lent     id.Tokens
-	lentNext time.Time
-	lending  []lentLoan
-	lender   bool
-
-	borrowing []loan
-	requests  []loanRequest
-	borrower  bool
-	askAt     time.Time
-	askNext   int
-	demand    demand
 }
 
 // demand estimates the tokens per second that callers have wanted recently.
@@ -67,11 +68,6 @@
 	return max(d.perSecond, float64(d.wanted))
 }
 
-func (a *account) concurrent() bool {
-	_, ok := a.limit.Amount.(Concurrent)
-	return ok
-}
-
 // apply makes the parts that count effective; gained parts start empty.
 func (a *account) apply(now time.Time, shorten float64) {
 	a.refill(now)
@@ -110,7 +106,7 @@
 // available returns the own and borrowed amount that can be taken now.
 func (a *account) available(now time.Time) id.Tokens {
 	a.refill(now)
-	if a.concurrent() {
+	if a.concurrent {
 		return a.freeSlots(now)
 	}
 	total := a.tokens
@@ -143,7 +139,7 @@
 
 // spend takes n of the available amount, borrowed tokens first because they expire.
 func (a *account) spend(now time.Time, n id.Tokens) {
-	if a.concurrent() {
+	if a.concurrent {
 		a.used += n
 		return
 	}
@@ -161,7 +157,7 @@
 }
 
 func (a *account) giveBack(now time.Time, n id.Tokens) {
-	if a.concurrent() {
+	if a.concurrent {
 		a.used = max(0, a.used-n)
 		return
 	}
--- a/allotment/basic_test.go
+++ b/allotment/basic_test.go
@@ -30,22 +30,6 @@
 	return w
 }
 
-func (w *world) requireWhole(limit allotment.Limit) {
-	if _, ok := limit.Amount.(allotment.Rate); ok {
-		require.Equal(w.t, id.WholeLimit, w.whole(limit.ID), "limit %s at %s", limit.ID, w.now.Sub(epoch))
-		return
-	}
-	var sum id.Tokens
-	for _, p := range w.processes {
-		for _, d := range p.Dump().Limits {
-			if d.Limit == limit.ID && w.authority(p) {
-				sum += d.Whole
-			}
-		}
-	}
-	require.Equal(w.t, float64(limit.Amount.(allotment.Concurrent).Slots), float64(sum), "limit %s", limit.ID)
-}
-
 // Guards against shares that are lost to rounding or never distributed, and writes that depend on more than leases.
 func TestSharesSettleAndOnlyLeasesAreWritten(t *testing.T) {
 	w := startSeven(t, 1, allotment.Config{}, small, large, slots, region)
@@ -91,21 +75,21 @@
 // Guards against refusing a small organisation within its rate because its tokens are split or stuck in loans.
 // The bound of the design page is 0.1% in steady state.
 func TestSmallOrganisationIsServedWithinItsRate(t *testing.T) {
-	served, refused := 0, 0
-	for seed := range uint64(8) {
+	t.Parallel()
+	asked, refused := 0, 0
+	for seed := range uint64(4) {
 		w := startSeven(t, seed, allotment.Config{}, small)
 		w.callers(small, func(ok bool) {
-			if ok {
-				served++
-			} else {
+			asked++
+			if !ok {
 				refused++
 			}
 		})
 		w.run(10 * time.Minute)
 	}
-	t.Logf("served %d, refused %d", served, refused)
-	require.Greater(t, served, 8*1000)
-	require.LessOrEqual(t, float64(refused), 0.001*float64(served+refused))
+	t.Logf("asked %d, refused %d", asked, refused)
+	require.Greater(t, asked, 4*1000)
+	require.LessOrEqual(t, float64(refused), 0.001*float64(asked))
 }
 
 // Guards against shares of a dead holder staying locked after its witness may reclaim them.
@@ -124,6 +108,7 @@
 
 // Guards against a table outage taking authority from instances whose peers live.
 func TestTableOutageWithLivePeersLosesNoAuthority(t *testing.T) {
+	t.Parallel()
 	w := startSeven(t, 3, allotment.Config{}, large, slots)
 	w.outage = w.now.Add(10 * time.Minute)
 	for range 610 {
@@ -139,7 +124,7 @@
 	w.outage = w.now.Add(time.Hour)
 	// The last renewal is up to a renewal interval old, and the long term is shortened by the drift bound.
 	w.run(56 * time.Second)
-	require.Equal(t, id.WholeLimit, w.whole(large.ID))
+	w.requireWhole(large)
 	w.run(4 * time.Second)
 	require.Zero(t, w.whole(large.ID))
 }
@@ -183,23 +168,13 @@
 
 // home returns the first home instance of the limit.
 func (w *world) home(limit allotment.Limit) *process {
-	for _, p := range w.processes {
-		if p.member.Instance == p.Homes(limit.ID)[0] {
-			return p
-		}
-	}
-	return nil
+	return w.named(w.processes[0].Homes(limit.ID)[0])
 }
 
 // Guards against slots that are lost when loans or their messages are lost, and against slots out of reach of loans.
 func TestSlotsAreLentAndComeBack(t *testing.T) {
 	w := startSeven(t, 7, allotment.Config{}, region)
-	var away *process
-	for _, p := range w.processes {
-		if p.member.Region != region.Region {
-			away = p
-		}
-	}
+	away := w.away(region)
 	for range 100 {
 		w.take(away, region, 1)
 		w.run(50 * time.Millisecond)
@@ -212,14 +187,10 @@
 	w.run(10 * time.Second)
 	w.loss = 0
 	w.run(10 * time.Second)
-	var free id.Tokens
 	for _, p := range w.processes {
-		for _, d := range p.Dump().Limits {
-			require.Zero(t, d.Lent)
-			free += d.Whole
-		}
+		require.Zero(t, p.Dump().Limits[0].Lent)
 	}
-	require.Equal(t, id.Tokens(7), free)
+	w.requireWhole(region)
 }
 
 // Guards against tokens beyond a lowered burst and against share rows that are rewritten for a changed rate.
--- a/allotment/bench_test.go
+++ b/allotment/bench_test.go
@@ -9,57 +9,36 @@
 
 	"bluebellhold/allotment"
 	"bluebellhold/id"
-	"bluebellhold/platform"
 )
 
-// settled returns a ledger that holds the given number of limits whole and has no renewal due.
-func settled(t testing.TB, count int) (*allotment.Ledger, []allotment.Limit, time.Time) {
+// settled returns a ledger that holds the given number of limits whole and has just renewed its lease.
+func settled(t testing.TB, count int) (*process, []allotment.Limit, time.Time) {
 	var limits []allotment.Limit
 	for i := range count {
 		limits = append(limits, allotment.Limit{
 			ID: id.Limit(fmt.Sprint("organisation-", i)), Amount: allotment.Rate{Rate: 1e9, Burst: 1e9},
 		})
 	}
-	self := allotment.Member{Instance: "instance-0", Live: true}
-	l := allotment.New(allotment.Config{Self: self})
-	var table platform.Memory
-	now := epoch
-	events := []allotment.Event{
-		allotment.MembersChanged{Members: []allotment.Member{self}}, allotment.LimitsChanged{Limits: limits},
+	w := newWorld(t, 1, allotment.Config{}, limits...)
+	w.unchecked = true
+	p := w.start("instance-0", "127.0.0.1:1")
+	w.run(time.Minute)
+	for before := w.writes; w.writes == before || p.Dump().Unresolved > 0; {
+		w.run(10 * time.Millisecond)
 	}
-	renewed := false
-	for now.Before(epoch.Add(time.Minute)) || !renewed {
-		renewed = false
-		events = append(events, allotment.Tick{})
-		for ; len(events) > 0; events = events[1:] {
-			for _, e := range l.Reduce(now, events[0]) {
-				switch e := e.(type) {
-				case allotment.Transact:
-					result, _ := table.Transact(t.Context(), e.Transaction)
-					events = append(events, allotment.TransactionDone{ID: e.ID, Result: result})
-					renewed = true
-				case allotment.ReadRows:
-					rows, _ := table.Read(t.Context(), e.Names)
-					events = append(events, allotment.RowsRead{ID: e.ID, Rows: rows})
-				}
-			}
-		}
-		now = now.Add(100 * time.Millisecond)
-	}
-	for _, d := range l.Dump().Limits {
-		require.Equal(t, id.WholeLimit, d.Parts)
-	}
-	return l, limits, now
+	require.Len(t, p.Dump().Limits, count)
+	w.requireWhole(limits[count-1])
+	return p, limits, p.clock(w.now)
 }
 
-func BenchmarkTake(b *testing.B) {
+func eachCount(b *testing.B, step func(l *process, now time.Time, limit id.Limit) bool) {
 	for _, count := range []int{8, 8000} {
 		b.Run(fmt.Sprint("limits=", count), func(b *testing.B) {
 			l, limits, now := settled(b, count)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				now = now.Add(time.Nanosecond)
-				if ok, _ := l.Take(now, limits[i%count].ID, 1); !ok {
+				if !step(l, now, limits[i%count].ID) {
 					b.Fatal("refused")
 				}
 			}
@@ -67,17 +46,17 @@
 	}
 }
 
+func BenchmarkTake(b *testing.B) {
+	eachCount(b, func(l *process, now time.Time, limit id.Limit) bool {
+		ok, _ := l.Take(now, limit, 1)
+		return ok
+	})
+}
+
 func BenchmarkTick(b *testing.B) {
-	for _, count := range []int{8, 8000} {
-		b.Run(fmt.Sprint("limits=", count), func(b *testing.B) {
-			l, _, now := settled(b, count)
-			b.ReportAllocs()
-			for b.Loop() {
-				now = now.Add(time.Nanosecond)
-				l.Reduce(now, allotment.Tick{})
-			}
-		})
-	}
+	eachCount(b, func(l *process, now time.Time, _ id.Limit) bool {
+		return len(l.Reduce(now, allotment.Tick{})) == 0
+	})
 }
 
 // Guards against an allocation on the path of every request.
--- a/allotment/example_test.go
+++ b/allotment/example_test.go
@@ -30,15 +30,14 @@
 		}
 	}
 	run(allotment.MembersChanged{Members: []allotment.Member{self}})
-	run(allotment.LimitsChanged{Limits: []allotment.Limit{
-		{ID: "organisation/school", Amount: allotment.Rate{Rate: 5, Burst: 10}},
-	}})
+	limit := allotment.Limit{ID: "school", Amount: allotment.Rate{Rate: 5, Burst: 10}}
+	run(allotment.LimitsChanged{Limits: []allotment.Limit{limit}})
 	for range 5 {
 		now = now.Add(200 * time.Millisecond)
 		run(allotment.Tick{})
 	}
-	spent, _ := ledger.Take(now, "organisation/school", 3)
-	tooMuch, _ := ledger.Take(now, "organisation/school", 3)
+	spent, _ := ledger.Take(now, limit.ID, 3)
+	tooMuch, _ := ledger.Take(now, limit.ID, 3)
 	fmt.Println("spent:", spent, "too much:", tooMuch)
 
 	run(allotment.StopRequested{})
--- a/allotment/lease.go
+++ b/allotment/lease.go
@@ -149,6 +149,9 @@
 }
 
 // reclaimable returns the instances whose lease rows this instance may remove at now.
+//
+// What was seen before this instance held its own lease does not count. So a successor waits at least one term, in
+// which the promises of its predecessor end.
 func (l *Ledger) reclaimable(now time.Time) []id.Instance {
 	var gone []id.Instance
 	for _, instance := range l.watched {
@@ -157,7 +160,7 @@
 			continue
 		}
 		wait := l.config.LongTerm
-		if seen.row.Witness == l.config.Self.Instance && !now.Before(l.actsAsWitness) {
+		if seen.row.Witness == l.config.Self.Instance {
 			wait = l.config.Term
 		}
 		if !now.Before(seen.since.Add(wait)) && len(gone) < maxReclaims {
@@ -188,8 +191,6 @@
 // beginTenure starts to hold the lease. Nothing is known of the share rows and of other leases from before.
 func (l *Ledger) beginTenure(now time.Time, succeeds bool) {
 	l.lease.held, l.lease.hadOnce = true, true
-	// A predecessor may have given promises that last for one term.
-	l.actsAsWitness = now.Add(l.config.Term)
 	if succeeds {
 		// The predecessor may have lent its tokens until a loan term after this process began.
 		wait := l.config.LoanTerm + l.config.LoanTerm*time.Duration(l.config.DriftPercent)/100
--- a/allotment/ledger.go
+++ b/allotment/ledger.go
@@ -46,7 +46,6 @@
 	released       bool
 	nextID         uint64
 	accrueFrom     time.Time
-	actsAsWitness  time.Time
 	desiredWitness id.Instance
 }
 
@@ -230,6 +229,7 @@
 	}
 	a.refill(now)
 	a.limit, a.withdrawn = limit, false
+	_, a.concurrent = limit.Amount.(Concurrent)
 	a.homes = chooseHomes(limit, l.members)
 	a.apply(now, l.shorten)
 	l.retarget(now, a)
--- a/allotment/loan.go
+++ b/allotment/loan.go
@@ -46,7 +46,7 @@
 // endLent ends loans of tokens at their deadlines. Loans of slots end when they are returned or when the borrower's
 // lease is gone, because a request may still run in a slot after the deadline.
 func (a *account) endLent(now time.Time) {
-	slots := a.concurrent()
+	slots := a.concurrent
 	a.lending = slices.DeleteFunc(a.lending, func(l lentLoan) bool {
 		return !now.Before(l.deadline) && (!slots || l.amount == 0)
 	})
@@ -69,7 +69,7 @@
 		return nil
 	}
 	wanted := n - a.available(now)
-	if !a.concurrent() {
+	if !a.concurrent {
 		wanted = max(wanted, id.Tokens(a.demand.estimate(now)*l.config.LoanTerm.Seconds()))
 	}
 	for _, r := range a.requests {
@@ -154,7 +154,7 @@
 
 // mayBorrow demands a known lease for slots, because only the loss of that lease ends an unreturned loan of slots.
 func (l *Ledger) mayBorrow(a *account, from id.Instance, incarnation id.Incarnation) bool {
-	if !a.concurrent() {
+	if !a.concurrent {
 		return true
 	}
 	seen, ok := l.leases[from]
@@ -165,7 +165,7 @@
 func (l *Ledger) lendable(now time.Time, a *account, wanted id.Tokens) id.Tokens {
 	a.refill(now)
 	free := a.tokens
-	if a.concurrent() {
+	if a.concurrent {
 		free = min(a.freeSlots(now), a.capacity-a.lent-a.used)
 	}
 	if free >= wanted {
@@ -197,7 +197,7 @@
 	term := l.config.shorten(m.Term)
 	deadline := request.sentAt.Add(term)
 	if !now.Before(deadline) || !now.Before(l.until) {
-		return l.disclaim(from, m, a.concurrent())
+		return l.disclaim(from, m, a.concurrent)
 	}
 	a.borrowing = append(a.borrowing, loan{
 		id: m.ID, lender: from, left: m.Amount, deadline: deadline,
@@ -219,7 +219,7 @@
 
 // answerProbe returns slots of a loan that is not in use here.
 func (l *Ledger) answerProbe(now time.Time, a *account, from id.Instance, m LoanReply) []Effect {
-	if !a.concurrent() {
+	if !a.concurrent {
 		return nil
 	}
 	active := slices.ContainsFunc(a.borrowing, func(b loan) bool { return b.id == m.ID })
@@ -247,7 +247,7 @@
 	sum := a.borrowed()
 	for _, b := range a.borrowing {
 		over := b.left == 0 || !now.Before(b.returnAt) || l.stopping || a.withdrawn
-		if a.concurrent() {
+		if a.concurrent {
 			over = over && a.used <= own+sum-b.left
 		}
 		if !over {
@@ -256,7 +256,7 @@
 		}
 		sum -= b.left
 		left := b.left
-		if !a.concurrent() && !now.Before(b.deadline) {
+		if !a.concurrent && !now.Before(b.deadline) {
 			left = 0
 		}
 		effects = append(effects, Send{To: b.lender, Message: LoanReturn{ID: b.id, Limit: a.limit.ID, Amount: left}})
@@ -280,7 +280,7 @@
 		refund := max(0, min(m.Amount, lent.amount))
 		lent.amount = 0
 		a.sumLent()
-		if !a.concurrent() {
+		if !a.concurrent {
 			a.tokens += refund
 		}
 		a.clip()
@@ -311,7 +311,7 @@
 
 // probe asks borrowers about overdue slots and ends the loans of borrowers whose lease is gone.
 func (l *Ledger) probe(now time.Time, a *account) []Effect {
-	if !a.concurrent() {
+	if !a.concurrent {
 		return nil
 	}
 	a.lending = slices.DeleteFunc(a.lending, func(lent lentLoan) bool {
--- a/allotment/rapid_test.go
+++ b/allotment/rapid_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -44,7 +45,9 @@
 	case "pause":
 		w.pause(p, d)
 	case "stop":
+		p.stopped = true
 		w.post(p, allotment.StopRequested{})
+		w.announce()
 	default:
 		w.replace(p, f)
 	}
@@ -65,25 +68,28 @@
 		address = fmt.Sprint("127.0.1.1:", len(w.processes))
 	}
 	w.after(time.Duration(f.Replace)*time.Millisecond, func() {
-		if w.running(name) {
-			return
+		if !w.running(name) {
+			w.start(name, address)
 		}
-		w.start(name, address)
 	})
 }
 
 func (w *world) running(name string) bool {
-	for _, p := range w.processes {
-		if string(p.member.Instance) == name && !p.dead {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(w.processes, func(p *process) bool {
+		return string(p.member.Instance) == name && !p.dead
+	})
 }
 
-// load lets callers ask every process at seeded times, more than the limits allow.
+// load lets callers ask every process at seeded times, in turns far more and far less than the limits allow.
 func (w *world) load() {
-	w.after(time.Duration(w.random.ExpFloat64()*8)*time.Millisecond, func() {
+	mean := 8 * time.Millisecond
+	if w.recovering {
+		return
+	}
+	if w.now.Sub(epoch)/(2*time.Second)%2 == 1 {
+		mean = 400 * time.Millisecond
+	}
+	w.after(time.Duration(w.random.ExpFloat64()*float64(mean)), func() {
 		p := w.processes[min(w.random.IntN(len(w.processes)), w.random.IntN(len(w.processes)))]
 		limit := w.limits[w.random.IntN(len(w.limits))]
 		n := 1 + w.random.IntN(2)
@@ -119,20 +125,31 @@
 			w.run(time.Duration(f.Quiet) * time.Millisecond)
 		}
 		w.run(7 * time.Second)
+		w.requireRecovery()
 	})
 }
 
-// Guards against spending beyond the limits when holders die, pause and are replaced.
-func TestProcessFaultsKeepLimits(t *testing.T) {
-	checkSchedules(t, "pause", "restart", "move", "rename", "stop")
-}
-
-// Guards against spending beyond the limits when the table is unreachable for some or all.
-func TestTableFaultsKeepLimits(t *testing.T) {
-	checkSchedules(t, "outage", "partition", "restart", "pause")
+// requireRecovery lets all faults end and demands that live instances hold everything after the long term.
+func (w *world) requireRecovery() {
+	w.outage, w.loss, w.recovering = w.now, 0, true
+	running := slices.ContainsFunc(w.processes, func(p *process) bool { return !p.dead && !p.stopped })
+	for _, p := range w.processes {
+		p.cut = false
+	}
+	w.run(45 * time.Second)
+	for _, limit := range w.limits {
+		if running {
+			w.requireWhole(limit)
+		}
+	}
 }
 
-// Guards against spending beyond the limits when all kinds of faults coincide.
-func TestMixedFaultsKeepLimits(t *testing.T) {
-	checkSchedules(t, "outage", "partition", "pause", "restart", "move", "rename", "stop")
+// Guards against spending beyond the limits, and against shares that stay lost, when processes, the table and
+// messages fail alone and together.
+func TestFaultsKeepLimits(t *testing.T) {
+	process := []string{"pause", "restart", "move", "rename", "stop"}
+	table := []string{"outage", "partition", "restart", "pause"}
+	t.Run("process", func(t *testing.T) { checkSchedules(t, process...) })
+	t.Run("table", func(t *testing.T) { checkSchedules(t, table...) })
+	t.Run("mixed", func(t *testing.T) { checkSchedules(t, append(table, process...)...) })
 }
--- a/allotment/sim_test.go
+++ b/allotment/sim_test.go
@@ -1,10 +1,11 @@
 package allotment_test
 
 import (
-	"container/heap"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
+	"sort"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -18,23 +19,8 @@
 
 // task is something that happens at a point of true time.
 type task struct {
-	at    time.Time
-	order int
-	run   func()
-}
-
-type tasks []task
-
-func (q tasks) Len() int { return len(q) }
-func (q tasks) Less(i, j int) bool {
-	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].order < q[j].order
-}
-func (q tasks) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *tasks) Push(x any)   { *q = append(*q, x.(task)) }
-func (q *tasks) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
+	at  time.Time
+	run func()
 }
 
 // process is one simulated instance process. Its clock runs off true time by a factor and an offset.
@@ -45,6 +31,7 @@
 	drift       float64
 	offset      time.Duration
 	dead        bool
+	stopped     bool
 	cut         bool
 	pausedUntil time.Time
 	inbox       []allotment.Event
@@ -67,19 +54,22 @@
 
 // world simulates ledgers, their messages and the table on one seeded schedule.
 type world struct {
-	t         require.TestingT
-	random    *rand.Rand
-	now       time.Time
-	queue     tasks
-	order     int
-	table     platform.Memory
-	outage    time.Time
-	loss      float64
-	limits    []allotment.Limit
-	processes []*process
-	buckets   map[id.Limit]*bucket
-	config    allotment.Config
-	writes    int
+	t          require.TestingT
+	random     *rand.Rand
+	now        time.Time
+	queue      []task
+	table      platform.Memory
+	outage     time.Time
+	loss       float64
+	recovering bool
+	unchecked  bool
+	limits     []allotment.Limit
+	processes  []*process
+	buckets    map[id.Limit]*bucket
+	config     allotment.Config
+	writes     int
+	// hold takes an effect out of the schedule if it returns true.
+	hold func(p *process, e allotment.Effect) bool
 	// rows and leases hold the share rows and the incarnations in the lease rows as of the last write.
 	rows   map[id.Limit]map[id.Instance]id.Parts
 	leases map[id.Instance]id.Incarnation
@@ -99,14 +89,16 @@
 }
 
 func (w *world) after(d time.Duration, run func()) {
-	w.order++
-	heap.Push(&w.queue, task{at: w.now.Add(d), order: w.order, run: run})
+	at := w.now.Add(d)
+	i := sort.Search(len(w.queue), func(i int) bool { return w.queue[i].at.After(at) })
+	w.queue = slices.Insert(w.queue, i, task{at, run})
 }
 
 func (w *world) run(d time.Duration) {
 	end := w.now.Add(d)
 	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
-		next := heap.Pop(&w.queue).(task)
+		next := w.queue[0]
+		w.queue = w.queue[1:]
 		w.now = next.at
 		next.run()
 	}
@@ -157,12 +149,11 @@
 func (w *world) members() []allotment.Member {
 	var members []allotment.Member
 	named := map[id.Instance]bool{}
-	for i := len(w.processes) - 1; i >= 0; i-- {
-		p := w.processes[i]
+	for _, p := range slices.Backward(w.processes) {
 		if !named[p.member.Instance] {
 			named[p.member.Instance] = true
 			m := p.member
-			m.Live = !p.dead
+			m.Live = !p.dead && !p.stopped
 			members = append(members, m)
 		}
 	}
@@ -200,6 +191,7 @@
 		for _, e := range inbox {
 			w.post(p, e)
 		}
+		w.announce()
 	})
 }
 
@@ -210,6 +202,9 @@
 
 func (w *world) execute(p *process, effects []allotment.Effect) {
 	for _, e := range effects {
+		if w.hold != nil && w.hold(p, e) {
+			continue
+		}
 		switch e := e.(type) {
 		case allotment.Send:
 			for range w.copies() {
@@ -225,14 +220,10 @@
 }
 
 func (w *world) copies() int {
-	switch {
-	case w.chance(w.loss):
-		return 0
-	case w.chance(w.loss):
-		return 2
-	default:
-		return 1
+	if w.chance(w.loss) {
+		return 2 * w.random.IntN(2)
 	}
+	return 1
 }
 
 func (w *world) deliver(from *process, e allotment.Send) {
@@ -270,10 +261,9 @@
 
 func (w *world) read(p *process, e allotment.ReadRows, sent time.Time) {
 	done := allotment.RowsRead{ID: e.ID, SentAt: sent}
+	done.Rows, done.Err = w.table.Read(context.Background(), e.Names)
 	if w.unreachable(p) || w.chance(w.loss) {
-		done.Err = &platform.UnavailableError{Call: "read"}
-	} else {
-		done.Rows, _ = w.table.Read(context.Background(), e.Names)
+		done.Rows, done.Err = nil, &platform.UnavailableError{Call: "read"}
 	}
 	w.after(w.latency(), func() { w.post(p, done) })
 }
@@ -332,19 +322,21 @@
 	p.covered[limit.ID] = min(p.covered[limit.ID], p.used[limit.ID])
 }
 
-func (w *world) readLease(instance id.Instance) id.Incarnation {
-	rows, _ := w.table.Read(context.Background(), []string{"lease/" + string(instance)})
-	var value struct{ Incarnation id.Incarnation }
+// decode reads the JSON of a row into value and leaves value alone if the row does not exist.
+func (w *world) decode(name string, value any) {
+	rows, err := w.table.Read(context.Background(), []string{name})
+	require.NoError(w.t, err)
 	if rows[0].Version != 0 {
-		require.NoError(w.t, json.Unmarshal(rows[0].Value, &value))
+		require.NoError(w.t, json.Unmarshal(rows[0].Value, value))
 	}
-	return value.Incarnation
 }
 
 // uncover stops counting slots whose taker has lost its lease row: no rule can end the requests in them.
 func (w *world) uncover() {
 	for _, p := range w.processes {
-		w.leases[p.member.Instance] = w.readLease(p.member.Instance)
+		var value struct{ Incarnation id.Incarnation }
+		w.decode("lease/"+string(p.member.Instance), &value)
+		w.leases[p.member.Instance] = value.Incarnation
 		if w.leases[p.member.Instance] != p.incarnation {
 			clear(p.covered)
 		}
@@ -355,6 +347,9 @@
 
 // check verifies the invariants that hold at every step.
 func (w *world) check() {
+	if w.unchecked {
+		return
+	}
 	inUse := map[id.Limit]int{}
 	for _, p := range w.processes {
 		if !w.authority(p) {
@@ -372,8 +367,23 @@
 		}
 	}
 	for _, limit := range w.limits {
-		if amount, ok := limit.Amount.(allotment.Concurrent); ok && inUse[limit.ID] > int(amount.Slots) {
-			require.FailNow(w.t, "too many slots", "%d of %s at %s", inUse[limit.ID], limit.ID, w.now.Sub(epoch))
+		// What could be spent at once counts as spent, so a fault shows before the load happens to use it.
+		spendable := 0.0
+		for _, p := range w.processes {
+			if !p.dead {
+				spendable += float64(p.Available(p.clock(w.now), limit.ID))
+			}
+		}
+		allowed := 0.0
+		switch amount := limit.Amount.(type) {
+		case allotment.Rate:
+			allowed = w.bucket(limit.ID, amount).tokens
+		case allotment.Concurrent:
+			allowed = float64(int(amount.Slots) - inUse[limit.ID])
+		}
+		if spendable > allowed+1e-6 {
+			require.FailNow(w.t, "too much", "%v spendable, %v allowed of %s at %s",
+				spendable, allowed, limit.ID, w.now.Sub(epoch))
 		}
 	}
 }
@@ -381,11 +391,8 @@
 func (w *world) shares() map[id.Limit]map[id.Instance]id.Parts {
 	all := map[id.Limit]map[id.Instance]id.Parts{}
 	for _, limit := range w.limits {
-		rows, _ := w.table.Read(context.Background(), []string{"share/" + string(limit.ID)})
 		value := map[id.Instance]id.Parts{}
-		if rows[0].Version != 0 {
-			require.NoError(w.t, json.Unmarshal(rows[0].Value, &value))
-		}
+		w.decode("share/"+string(limit.ID), &value)
 		var sum id.Parts
 		for _, parts := range value {
 			sum += parts
@@ -396,21 +403,16 @@
 	return all
 }
 
+// worth returns the burst or the slots that parts are worth. A third of three slots is 333,333 parts.
 func (w *world) worth(limit id.Limit, parts id.Parts) float64 {
-	for _, l := range w.limits {
-		switch amount := l.Amount.(type) {
-		case allotment.Rate:
-			if l.ID == limit {
-				return float64(parts.Of(amount.Burst))
-			}
-		case allotment.Concurrent:
-			// One part of tolerance: a third of three slots is 333,333 parts.
-			if l.ID == limit && parts > 0 {
-				return float64((parts + 1).Of(id.Tokens(amount.Slots)))
-			}
-		}
+	i := slices.IndexFunc(w.limits, func(l allotment.Limit) bool { return l.ID == limit })
+	if parts == 0 || i < 0 {
+		return 0
 	}
-	return 0
+	if amount, ok := w.limits[i].Amount.(allotment.Rate); ok {
+		return float64(parts.Of(amount.Burst))
+	}
+	return float64((parts + 1).Of(id.Tokens(w.limits[i].Amount.(allotment.Concurrent).Slots)))
 }
 
 // uncoveredLoans counts slots in use that were borrowed from a lender that has since lost its lease row.
@@ -430,17 +432,30 @@
 	return min(broken, beyond)
 }
 
-// whole returns the parts of the limit that processes with authority hold.
-func (w *world) whole(limit id.Limit) id.Parts {
-	var sum id.Parts
+// whole returns the burst or slots of the limit that processes with authority hold.
+func (w *world) whole(limit id.Limit) (worth id.Tokens) {
 	for _, p := range w.processes {
-		if w.authority(p) {
-			for _, d := range p.Dump().Limits {
-				if d.Limit == limit {
-					sum += d.Parts
-				}
+		for _, d := range p.Dump().Limits {
+			if d.Limit == limit && w.authority(p) {
+				worth += d.Whole
 			}
 		}
 	}
-	return sum
+	return worth
+}
+
+func (w *world) requireWhole(limit allotment.Limit) {
+	worth := w.whole(limit.ID)
+	switch amount := limit.Amount.(type) {
+	case allotment.Rate:
+		require.InDelta(w.t, float64(amount.Burst), float64(worth), 1e-6, "limit %s at %s", limit.ID, w.now.Sub(epoch))
+	case allotment.Concurrent:
+		require.Equal(w.t, id.Tokens(amount.Slots), worth, "limit %s at %s", limit.ID, w.now.Sub(epoch))
+	}
+}
+
+// named returns the first process of the instance.
+func (w *world) named(instance id.Instance) *process {
+	i := slices.IndexFunc(w.processes, func(p *process) bool { return p.member.Instance == instance })
+	return w.processes[i]
 }
