Ask another home instance when a loan request gets no answer

Cause: a request to a lender that had just died kept its whole amount from being asked elsewhere for one loan term of 1 s, so a large organisation whose callers are skewed was refused in the second after the loss of an instance. After 250 ms, two round trips between regions, the amount is asked of the next home instance.

--- a/allotment/loan.go
+++ b/allotment/loan.go
@@ -13,6 +13,9 @@
 	maxAskPause = time.Second
 	// A slot becomes free at an unknown time, so the pause for slots is fixed.
 	slotAskPause = 100 * time.Millisecond
+	// replyWait covers two round trips between regions. A request that has no answer by then does not keep its amount
+	// from being asked of another home instance, because the first one may be gone.
+	replyWait = 250 * time.Millisecond
 )
 
 // loan is an amount that this instance borrowed.
@@ -73,7 +76,9 @@
 		wanted = max(wanted, id.Tokens(a.demand.estimate(now)*l.config.LoanTerm.Seconds()))
 	}
 	for _, r := range a.requests {
-		wanted -= r.amount
+		if now.Sub(r.sentAt) < replyWait {
+			wanted -= r.amount
+		}
 	}
 	lender, ok := l.nextLender(a)
 	if wanted <= 0 || !ok {
