Answer look-ups by client block and home instances

Look-ups ignored the client's address and ordered instances anew each time. The configuration now compiles its client blocks into a longest-prefix table, and the order comes from the lookup package: home instances of the organisation in the client's region first, with the address as the seed so that a client keeps its connections.

--- a/backend.go
+++ b/backend.go
@@ -25,11 +25,11 @@
 
 // Lookup answers a look-up for an organisation on behalf of an operator.
 func (b backend) Lookup(
-	_ context.Context, service id.Service, organisation id.Organisation, client netip.Addr,
+	_ context.Context, _ id.Service, organisation id.Organisation, client netip.Addr,
 ) (any, error) {
 	b.m.Lock()
 	defer b.m.Unlock()
-	return b.state.LookupFor(time.Now(), service, organisation, client), nil
+	return b.state.LookupFor(time.Now(), organisation, client), nil
 }
 
 // Propose sends a release note to the reducer and waits for its outcome.
--- a/internal/steering/lookup.go
+++ b/internal/steering/lookup.go
@@ -2,14 +2,18 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bluebellhold/fleet"
 	"bluebellhold/id"
-	"bluebellhold/platform"
+	"bluebellhold/lookup"
 )
 
+// lookupLength is the most instances that an answer names; a caller that finds none of them asks again.
+const lookupLength = 8
+
 // LookupInstance is an instance that a caller may use.
 type LookupInstance struct {
 	Instance id.Instance `json:"instance"`
@@ -32,48 +36,42 @@
 		// An unknown key gets an answer as well; the instances refuse it when it is used.
 		_, organisation, _ = s.epochs.current.Owner(q.Secret)
 	}
-	return s.LookupFor(now, q.Service, organisation, q.Client), nil
+	return s.LookupFor(now, organisation, q.Client), nil
 }
 
 // LookupFor answers a look-up for an organisation; the empty organisation stands for a caller without a key.
 //
-// The organisation's home instances come first, because its tokens are there, those of the client's region before
-// others. Leaving and silent instances are left out.
-func (s *State) LookupFor(now time.Time, _ id.Service, organisation id.Organisation, _ netip.Addr) LookupAnswer {
+// The organisation's home instances in the client's region come first, because its tokens are there. A client whose
+// block is not known counts as one of the instance's own region. Leaving and silent instances are left out.
+func (s *State) LookupFor(now time.Time, organisation id.Organisation, client netip.Addr) LookupAnswer {
+	region, ok := s.epochs.current.Region(client)
+	if !ok {
+		region = s.self.Region
+	}
 	var homes []id.Instance
 	if o := s.organisations[organisation]; o != nil && o.limit != "" {
 		homes = s.ledger.Homes(o.limit)
 	}
-	candidates := s.candidates()
-	s.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	slices.SortStableFunc(candidates, func(a, b platform.Member) int {
-		return s.rank(b, homes) - s.rank(a, homes)
+	// The address is the seed, so that a client keeps its instances and its connections.
+	address := client.As16()
+	ranked := lookup.Rank(s.candidates, lookup.Client{
+		Region: region, Home: homes, Seed: xxhash.Sum64(address[:]), Limit: lookupLength,
 	})
 	answer := LookupAnswer{Expires: now.Add(lookupLife)}
-	for _, m := range candidates {
-		answer.Instances = append(answer.Instances, LookupInstance{Instance: m.Instance, Address: m.Caller})
+	for _, name := range ranked {
+		answer.Instances = append(answer.Instances, LookupInstance{Instance: name, Address: s.addresses[name]})
 	}
 	return answer
 }
 
-func (s *State) candidates() []platform.Member {
-	var out []platform.Member
+// gatherCandidates indexes the instances that look-ups may name; it runs when the membership changes.
+func (s *State) gatherCandidates() {
+	var members []lookup.Member
+	s.addresses = make(map[id.Instance]string)
 	for _, m := range s.view.Members() {
-		if m.Status == fleet.Live && m.Caller != "" {
-			out = append(out, m.Member)
-		}
-	}
-	return out
-}
-
-// rank is higher for instances of the region, and among these for home instances.
-func (s *State) rank(m platform.Member, homes []id.Instance) int {
-	rank := 0
-	if m.Region == s.self.Region {
-		rank += 2
-	}
-	if slices.Contains(homes, m.Instance) {
-		rank++
+		isUsable := m.Status == fleet.Live && m.Caller != ""
+		members = append(members, lookup.Member{Instance: m.Instance, Region: m.Region, Live: isUsable})
+		s.addresses[m.Instance] = m.Caller
 	}
-	return rank
+	s.candidates = lookup.Gather(members)
 }
--- /dev/null
+++ b/internal/steering/lookup_test.go
@@ -0,0 +1,59 @@
+package steering_test
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhold/id"
+	"bluebellhold/internal/steering"
+	"bluebellhold/note"
+)
+
+// Guards against look-ups that ignore the client's block, name a leaving or a dead instance, or leave the home
+// instances of a small organisation behind others of the region.
+func TestLookupNamesUsableInstancesOfTheClientsRegion(t *testing.T) {
+	s := newSim(t, 31, 7)
+	s.startZadruga()
+	reply := s.apply(s.nodes[0], note.Note{ID: "blocks", Add: note.Entries{
+		Sites:  map[id.Site]note.Site{"koper": {Region: "primorska", DataCentre: "primorska-0"}},
+		Blocks: map[string]id.Site{"10.9.0.0/16": "koper"},
+	}})
+	s.run(5 * time.Second)
+	require.NoError(t, reply.Err)
+	client := netip.MustParseAddr("10.9.3.4")
+	first := func(o id.Organisation) []id.Instance {
+		answer, refusal := s.nodes[0].state.Lookup(s.now, steering.Query{
+			Service: "pregled", Secret: secretOf(o), HasKey: true, Client: client,
+		})
+		require.Nil(t, refusal)
+		require.Equal(t, s.now.Add(5*time.Second), answer.Expires)
+		var names []id.Instance
+		for _, i := range answer.Instances {
+			names = append(names, i.Instance)
+		}
+		return names
+	}
+	require.ElementsMatch(t, []id.Instance{"primorska-2", "primorska-5"}, first("podjetje")[:2])
+	home := s.homeOf("zbor")
+	others := slices.DeleteFunc(first("zbor"), func(name id.Instance) bool { return name[:4] == "prim" })
+	require.Equal(t, home, others[0], "the home instance comes first among the other regions")
+
+	s.nodes[2].post(steering.StopRequested{})
+	s.nodes[5].dead = true
+	s.run(4 * time.Second)
+	require.NotContains(t, first("podjetje"), id.Instance("primorska-2"))
+	require.NotContains(t, first("podjetje"), id.Instance("primorska-5"))
+}
+
+func (s *sim) homeOf(o id.Organisation) id.Instance {
+	for _, dumped := range s.nodes[0].state.Dump(s.now).Organisations {
+		if dumped.Organisation == o {
+			return dumped.Homes[0]
+		}
+	}
+	return ""
+}
--- a/internal/steering/peers.go
+++ b/internal/steering/peers.go
@@ -65,6 +65,7 @@
 	if len(changes) == 0 {
 		return
 	}
+	s.gatherCandidates()
 	var members []platform.Member
 	shares := []allotment.Member{ledgerMember(s.self, !s.stopping.isLeaving())}
 	for _, m := range s.view.Members() {
--- a/internal/steering/state.go
+++ b/internal/steering/state.go
@@ -9,6 +9,7 @@
 	"bluebellhold/claim"
 	"bluebellhold/fleet"
 	"bluebellhold/id"
+	"bluebellhold/lookup"
 	"bluebellhold/note"
 	"bluebellhold/platform"
 	"bluebellhold/retry"
@@ -43,9 +44,11 @@
 	claims *claim.Book
 	view   *fleet.View
 	// isListed is set once the platform's list has been read; before that, unknown members may exist.
-	isListed bool
-	suspects *retry.Suspects
-	services map[id.Service]*service
+	isListed   bool
+	candidates *lookup.Candidates
+	addresses  map[id.Instance]string
+	suspects   *retry.Suspects
+	services   map[id.Service]*service
 	// names lists the services in order, so that decisions do not depend on the order of a map.
 	names         []id.Service
 	organisations map[id.Organisation]*organisation
@@ -88,6 +91,7 @@
 		peers:         make(map[id.Instance]*peer),
 	}
 	s.epochs.current = note.Compile(note.Configuration{})
+	s.gatherCandidates()
 	return s
 }
 
--- a/note/compiled.go
+++ b/note/compiled.go
@@ -2,11 +2,13 @@
 
 import (
 	"crypto/subtle"
+	"net/netip"
 	"slices"
 	"sort"
 	"strings"
 
 	"bluebellhold/id"
+	"bluebellhold/lookup"
 )
 
 // Compiled is a Configuration with the indexes that decide requests.
@@ -16,6 +18,7 @@
 	Configuration
 	keys   map[id.Digest]keyOwner
 	routes map[id.Service][]Route
+	blocks *lookup.Table
 }
 
 type keyOwner struct {
@@ -39,9 +42,35 @@
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Path) > len(routes[j].Path) })
 		out.routes[name] = routes
 	}
+	out.blocks = clientBlocks(c.Blocks)
 	return out
 }
 
+// clientBlocks builds the table of client blocks; Apply and Decode have checked the prefixes.
+func clientBlocks(blocks map[string]id.Site) *lookup.Table {
+	list := make([]lookup.Block, 0, len(blocks))
+	for text, site := range blocks {
+		if prefix, err := netip.ParsePrefix(text); err == nil {
+			list = append(list, lookup.Block{Prefix: prefix, Site: site})
+		}
+	}
+	table, err := lookup.Build(list)
+	if err != nil {
+		panic("note: a checked configuration has a wrong client block: " + err.Error())
+	}
+	return table
+}
+
+// Region returns the region of the site that the client's block is steered to.
+func (c *Compiled) Region(client netip.Addr) (id.Region, bool) {
+	name, ok := c.blocks.Find(client)
+	if !ok {
+		return "", false
+	}
+	site, ok := c.Sites[name]
+	return site.Region, ok
+}
+
 // Owner returns the key and the organisation that the digest of a secret belongs to.
 func (c *Compiled) Owner(secret id.Digest) (id.Key, id.Organisation, bool) {
 	owner, ok := c.keys[secret]
