--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -38,7 +39,7 @@
 	ctx, cancel := context.WithDeadline(parent, d.Deadline)
 	defer cancel()
 	a.ctx = withGuard(ctx, &a.guard)
-	response, err := x.gateway.transport.RoundTrip(a.upstreamRequest())
+	response, err := a.roundTrip()
 	if err != nil {
 		a.end(a.failure(err, false))
 		return false
@@ -52,6 +53,43 @@
 	return a.answer(response)
 }
 
+// roundTrip sends the request; it tries another connection if nothing could be sent on a reused one, since an
+// upstream may close an idle connection at any time.
+func (a *attempt) roundTrip() (*http.Response, error) {
+	for {
+		response, err := a.checked(a.gateway.transport.RoundTrip(a.upstreamRequest()))
+		var late *LateError
+		if err == nil || a.guard.sent.Load() || a.consumed || !a.guard.reused.Swap(false) || errors.As(err, &late) ||
+			a.ctx.Err() != nil {
+			return response, err
+		}
+	}
+}
+
+// checked refuses answers that cannot be passed on: one that began before the request was sent belongs to another
+// request, and a switch of protocols was not asked for.
+func (a *attempt) checked(response *http.Response, err error) (*http.Response, error) {
+	if err != nil {
+		return nil, err
+	}
+	if !a.guard.early.Load() && response.StatusCode >= http.StatusOK {
+		return response, nil
+	}
+	_ = response.Body.Close()
+	return nil, &AnswerError{Status: response.StatusCode}
+}
+
+// AnswerError reports an answer that belongs to no request or has a status that no final answer has; a status of zero
+// means that it was not read.
+type AnswerError struct {
+	Status int
+}
+
+// Error names the status.
+func (e *AnswerError) Error() string {
+	return "gateway: unexpected answer with status " + strconv.Itoa(e.Status)
+}
+
 func (a *attempt) end(e steering.Ending) {
 	a.gateway.engine.Post(steering.AttemptEnded{Request: a.request, Ending: e, Consumed: a.consumed})
 }
