Bound what slow callers hold, and blame the right side for broken uploads

Cause, each found by a test: - The deadline for a streamed body stayed set after its end. The server's read for the caller's leaving ran into it, so an upload whose upstream worked for longer than the stall timeout was cancelled. - A failed or timed-out attempt ended only after the read of a stalled caller's body, and held the upstream's slot up to the stall timeout. - A caller that broke off before anything was sent counted as NotSent, which ejects the upstream. A body over the limit was refused with "deadline". - A refusal or answer before the end of the body waited for the rest without a limit. An upstream's early answer broke the rest of the upload. - A small chunked body held a dispatch while the caller sent it. - An upload that could not be sent at all was not retried. - Replays and refusals had no write deadline. - A very large Request-Timeout wrapped around to a deadline in the past.

Change: the body clears its deadline at its end, and closing the upstream's connection ends a pending read of it. The caller's fault is checked first. Bodies of unknown length are read in advance up to the buffer's size, and only a body that was touched counts as consumed. The rest of an unneeded body is read for at most 500 ms. The stall timeout is a field of Config with the same default.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,6 +24,7 @@
 	dispatch steering.Dispatch
 	guard    sendGuard
 	ctx      context.Context
+	stream   *stallingBody
 	moved    id.Bytes
 	allowed  id.Bytes
 }
@@ -39,6 +40,7 @@
 	ctx, cancel := context.WithDeadline(parent, d.Deadline)
 	defer cancel()
 	a.ctx = withGuard(ctx, &a.guard)
+	defer a.finishStream()
 	response, err := a.roundTrip()
 	if err != nil {
 		a.end(a.failure(err, false))
@@ -57,9 +59,10 @@
 // upstream may close an idle connection at any time.
 func (a *attempt) roundTrip() (*http.Response, error) {
 	for {
+		a.startStream()
 		response, err := a.checked(a.gateway.transport.RoundTrip(a.upstreamRequest()))
 		var late *LateError
-		if err == nil || a.guard.sent.Load() || a.consumed || !a.guard.reused.Swap(false) || errors.As(err, &late) ||
+		if err == nil || a.guard.sent.Load() || a.isTouched() || !a.guard.reused.Swap(false) || errors.As(err, &late) ||
 			a.ctx.Err() != nil {
 			return response, err
 		}
@@ -90,8 +93,31 @@
 	return "gateway: unexpected answer with status " + strconv.Itoa(e.Status)
 }
 
+// startStream prepares to stream a body that is not in memory; one that nothing has been read of can start again.
+func (a *attempt) startStream() {
+	if a.buffered {
+		return
+	}
+	a.stream = &stallingBody{exchange: a.exchange, start: a.body, left: a.gateway.maxBody}
+	a.guard.wake = a.stream.stop
+	// An upstream may answer before it has read the whole body.
+	_ = a.control.EnableFullDuplex()
+}
+
+func (a *attempt) finishStream() {
+	if a.stream != nil {
+		a.stream.finish()
+	}
+}
+
+func (a *attempt) isTouched() bool {
+	return a.stream != nil && a.stream.touched.Load()
+}
+
 func (a *attempt) end(e steering.Ending) {
-	a.gateway.engine.Post(steering.AttemptEnded{Request: a.request, Ending: e, Consumed: a.consumed})
+	a.gateway.engine.Post(steering.AttemptEnded{
+		Request: a.request, Ending: e, Consumed: a.stream != nil && (a.isTouched() || a.guard.sent.Load()),
+	})
 }
 
 func (a *attempt) upstreamRequest() *http.Request {
@@ -123,9 +149,8 @@
 // opaque body without GetBody prevents it; retries are the reducer's decision.
 func (a *attempt) setBody(request *http.Request) {
 	switch {
-	case !a.buffered:
-		a.consumed = true
-		request.Body = &stallingBody{exchange: a.exchange, left: a.gateway.maxBody}
+	case a.stream != nil:
+		request.Body = a.stream
 		request.ContentLength = a.r.ContentLength
 	case len(a.body) > 0:
 		request.Body = io.NopCloser(bytes.NewReader(a.body))
@@ -137,11 +162,12 @@
 
 // failure tells what is known of an attempt that ended with err.
 func (a *attempt) failure(err error, forwarded bool) steering.Ending {
+	a.bodyFailed = a.stream != nil && a.stream.failed.Load()
 	switch {
+	case a.bodyFailed || isCallersFault(err) || a.isCallerGone():
+		return steering.Cancelled{}
 	case !a.guard.sent.Load():
 		return steering.NotSent{}
-	case isCallersFault(err) || (a.r.Context().Err() != nil && !a.dispatch.Kept):
-		return steering.Cancelled{}
 	case isTimeout(a.ctx, err):
 		return steering.TimedOut{Forwarded: forwarded}
 	default:
@@ -149,6 +175,11 @@
 	}
 }
 
+// isCallerGone reports whether the attempt has lost the caller that it depends on.
+func (a *attempt) isCallerGone() bool {
+	return !a.dispatch.Kept && a.r.Context().Err() != nil && (a.stream == nil || !a.stream.woken.Load())
+}
+
 // answer passes an upstream's answer on and reports whether the exchange has ended.
 func (a *attempt) answer(response *http.Response) bool {
 	head, whole, err := a.readHead(response)
@@ -160,12 +191,13 @@
 		// The whole answer is here, so the upstream's slot is free before a slow caller reads it.
 		a.end(steering.Answered{Answer: a.kept(response, head, false), Size: id.Bytes(len(head))})
 		a.observe()
+		a.finishStream()
+		a.limitAnswer()
 		a.forwardHead(response)
-		_ = a.control.SetWriteDeadline(time.Now().Add(stallTimeout))
 		_, _ = a.w.Write(head)
 		return true
 	}
-	a.stream(response, head)
+	a.forwardStream(response, head)
 	return true
 }
 
@@ -203,8 +235,8 @@
 	a.w.WriteHeader(response.StatusCode)
 }
 
-// stream forwards an answer that is larger than the buffer; if it breaks off, it closes the caller's connection.
-func (a *attempt) stream(response *http.Response, head []byte) {
+// forwardStream forwards an answer that is larger than the buffer; if it breaks off, it closes the caller's connection.
+func (a *attempt) forwardStream(response *http.Response, head []byte) {
 	a.forwardHead(response)
 	size, err := a.copyAnswer(response.Body, head)
 	if err != nil {
@@ -248,7 +280,7 @@
 	if a.dispatch.Kept && a.r.Context().Err() != nil {
 		return nil
 	}
-	_ = a.control.SetWriteDeadline(time.Now().Add(stallTimeout))
+	_ = a.control.SetWriteDeadline(time.Now().Add(a.gateway.stallTimeout))
 	if _, err := a.w.Write(part); err != nil && !a.dispatch.Kept {
 		return &CallerError{Cause: err}
 	}
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"os"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"bluebellhold/id"
@@ -14,21 +16,78 @@
 // stallingBody streams a caller's body and gives up a caller that sends nothing for the stall timeout.
 type stallingBody struct {
 	*exchange
-	left id.Bytes
+	// start is the part of the body that was read before.
+	start   []byte
+	left    id.Bytes
+	m       sync.Mutex
+	isEnded bool
+	touched atomic.Bool
+	stopped atomic.Bool
+	// failed is set if the caller broke off the body or sent too much; woken is set if stop ended a read, which makes
+	// the server cancel the request's context as if the caller had gone.
+	failed atomic.Bool
+	woken  atomic.Bool
 }
 
 // Read reads a part of the body.
+//
+// No deadline stays set after the end: the server goes on reading to see whether the caller leaves, and would take
+// the deadline for that.
 func (b *stallingBody) Read(p []byte) (int, error) {
-	_ = b.control.SetReadDeadline(time.Now().Add(stallTimeout))
+	b.m.Lock()
+	defer b.m.Unlock()
+	if b.isEnded {
+		return 0, io.EOF
+	}
+	b.touched.Store(true)
+	if len(b.start) > 0 {
+		n := copy(p, b.start)
+		b.start = b.start[n:]
+		b.left -= id.Bytes(n)
+		return n, nil
+	}
+	_ = b.control.SetReadDeadline(time.Now().Add(b.gateway.stallTimeout))
+	if b.stopped.Load() {
+		return 0, &StoppedError{}
+	}
 	n, err := b.r.Body.Read(p)
 	b.left -= id.Bytes(n)
-	if b.left < 0 {
-		return n, &CallerError{Cause: &SizeError{Limit: b.gateway.maxBody}}
+	switch {
+	case b.left < 0:
+		err = &SizeError{Limit: b.gateway.maxBody}
+	case err == nil:
+		return n, nil
+	case err == io.EOF:
+		b.isEnded = true
+		_ = b.control.SetReadDeadline(time.Time{})
+		return n, err
+	case b.stopped.Load() && errors.Is(err, os.ErrDeadlineExceeded):
+		b.woken.Store(true)
+		return n, &StoppedError{}
 	}
-	if err != nil && err != io.EOF {
-		return n, &CallerError{Cause: err}
+	b.failed.Store(true)
+	return n, &CallerError{Cause: err}
+}
+
+// stop ends a read that is waiting for the caller and prevents further ones; it does not wait.
+//
+// The transport reports a failed attempt only after its read of the body has returned, so a caller that sends
+// nothing would otherwise hold the upstream's slot.
+func (b *stallingBody) stop() {
+	b.stopped.Store(true)
+	if b.m.TryLock() {
+		b.m.Unlock()
+		return
 	}
-	return n, err
+	_ = b.control.SetReadDeadline(time.Unix(1, 0))
+}
+
+// finish stops the body and waits until nothing reads it, because the server uses the connection afterwards.
+func (b *stallingBody) finish() {
+	b.stop()
+	b.m.Lock()
+	defer b.m.Unlock()
+	b.ended = b.isEnded
 }
 
 // Close leaves the body to the server, which owns it.
@@ -36,6 +95,14 @@
 	return nil
 }
 
+// StoppedError reports a read of a caller's body whose attempt has ended.
+type StoppedError struct{}
+
+// Error describes the failure.
+func (e *StoppedError) Error() string {
+	return "gateway: the attempt ended before the caller's body was read"
+}
+
 // SizeError reports a body that is larger than the limit.
 type SizeError struct {
 	Limit id.Bytes
@@ -69,5 +136,5 @@
 
 func isTimeout(ctx context.Context, err error) bool {
 	var failure net.Error
-	return ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded) || (errors.As(err, &failure) && failure.Timeout())
+	return ctx.Err() == context.DeadlineExceeded || errors.Is(err, os.ErrDeadlineExceeded) || (errors.As(err, &failure) && failure.Timeout())
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,7 +22,8 @@
 	DefaultMaxStreamed     id.Bytes = 1 << 30
 	defaultSmallTimeout             = 30 * time.Second
 	maximumTimeout                  = 10 * time.Minute
-	stallTimeout                    = 10 * time.Second
+	DefaultStallTimeout             = 10 * time.Second
+	drainTimeout                    = 500 * time.Millisecond
 	connectTimeout                  = 2 * time.Second
 	idleConnectionTimeout           = 60 * time.Second
 	connectionsPerUpstream          = 64
@@ -48,6 +49,9 @@
 	Registry metrics.Registry
 	// MaxBody limits the body of a request that is streamed. The default is DefaultMaxStreamed.
 	MaxBody id.Bytes
+	// StallTimeout is how long a caller may send nothing of its body or take nothing of its answer. The default is
+	// DefaultStallTimeout.
+	StallTimeout time.Duration
 }
 
 // Gateway serves callers over HTTP and is safe for concurrent use.
@@ -61,6 +65,8 @@
 	requests  atomic.Uint64
 	leaving   atomic.Bool
 	latency   latencies
+
+	stallTimeout time.Duration
 }
 
 // New returns a gateway for the engine.
@@ -68,6 +74,9 @@
 	if c.MaxBody == 0 {
 		c.MaxBody = DefaultMaxStreamed
 	}
+	if c.StallTimeout == 0 {
+		c.StallTimeout = DefaultStallTimeout
+	}
 	if c.Registry == nil {
 		c.Registry = metrics.NewRegistry()
 	}
@@ -78,6 +87,8 @@
 		maxBody:   c.MaxBody,
 		transport: newTransport(),
 		latency:   latencies{registry: c.Registry},
+
+		stallTimeout: c.StallTimeout,
 	}
 	g.router = mux.NewRouter().SkipClean(true).UseEncodedPath()
 	g.router.HandleFunc("/service/{service}", g.serve)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -30,18 +30,22 @@
 	secret    string
 	deadline  time.Time
 	started   time.Time
-	// body is the whole body if it was read in advance.
+	// body is what was read of the body in advance: all of it if buffered is set, else its first part.
 	body     []byte
 	buffered bool
-	consumed bool
-	effects  chan steering.RequestEffect
+	// ended is set once the body has been read to its end.
+	ended bool
+	// bodyFailed is set if an attempt ended because of the caller's body.
+	bodyFailed bool
+	effects    chan steering.RequestEffect
 }
 
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	x := g.newExchange(w, r)
+	defer x.closeBody()
 	refusal := x.prepare()
 	if refusal != nil {
-		writeRefusal(w, *refusal, x.started)
+		x.refuse(*refusal)
 		return
 	}
 	g.engine.Watch(x.request, x.effects)
@@ -73,7 +77,7 @@
 	if err != nil || ms <= 0 {
 		return defaultSmallTimeout
 	}
-	return min(time.Duration(ms)*time.Millisecond, maximumTimeout)
+	return time.Duration(min(ms, maximumTimeout.Milliseconds())) * time.Millisecond
 }
 
 // prepare checks the head and reads a small body, so that a slow caller holds no share and no slot meanwhile.
@@ -91,35 +95,46 @@
 		// A key in the address would reach the upstream and its logs.
 		return &steering.Refusal{Code: steering.CodeKey, Outcome: steering.NotRun}
 	}
-	if x.r.ContentLength < 0 || id.Bytes(x.r.ContentLength) > DefaultMaxBuffered {
+	if id.Bytes(x.r.ContentLength) > DefaultMaxBuffered {
 		return nil
 	}
-	if !x.readBody(DefaultMaxBuffered) {
+	if !x.readBody(min(DefaultMaxBuffered, x.gateway.maxBody)) {
 		return broken
 	}
 	return nil
 }
 
-// readBody reads the whole body into memory and reports whether it came whole and within the limit.
+// readBody reads the body into memory up to the limit and reports whether that worked; a body within the limit is
+// buffered afterwards, and of a larger one the first part is in memory.
 func (x *exchange) readBody(limit id.Bytes) bool {
 	if x.buffered {
 		return true
 	}
-	x.buffered = true
 	if x.r.ContentLength == 0 {
+		x.buffered, x.ended = true, true
 		return true
 	}
-	_ = x.control.SetReadDeadline(earlier(x.deadline, time.Now().Add(stallTimeout)))
-	var body bytes.Buffer
-	_, err := body.ReadFrom(io.LimitReader(x.r.Body, int64(limit)+1))
-	if err != nil || id.Bytes(body.Len()) > limit {
+	body := bytes.NewBuffer(x.body)
+	_, err := body.ReadFrom(io.LimitReader((*patientReader)(x), int64(limit)+1-int64(len(x.body))))
+	if err != nil {
 		return false
 	}
-	_ = x.control.SetReadDeadline(time.Time{})
 	x.body = body.Bytes()
+	x.buffered = id.Bytes(len(x.body)) <= limit
+	x.ended = x.buffered
+	_ = x.control.SetReadDeadline(time.Time{})
 	return true
 }
 
+// patientReader reads the body of an exchange before it is dispatched.
+type patientReader exchange
+
+// Read waits for the caller up to the stall timeout and within the request's deadline.
+func (x *patientReader) Read(p []byte) (int, error) {
+	_ = x.control.SetReadDeadline(earlier(x.deadline, time.Now().Add(x.gateway.stallTimeout)))
+	return x.r.Body.Read(p)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -135,11 +150,11 @@
 		Path:        x.plainPath,
 		Query:       x.r.URL.RawQuery,
 		Idempotency: x.r.Header.Get(headerIdempotencyKey),
-		Size:        id.Bytes(max(x.r.ContentLength, 0)),
+		Size:        max(id.Bytes(x.r.ContentLength), id.Bytes(len(x.body))),
 		Deadline:    x.deadline,
 		Retried:     x.r.Header.Get(headerAttempt) != "",
 	}
-	if len(x.body) > 0 {
+	if x.buffered && len(x.body) > 0 {
 		e.Content = id.DigestOf(x.body)
 	}
 	if x.secret != "" {
@@ -173,7 +188,7 @@
 	case steering.Dispatch:
 		return x.dispatch(e)
 	case steering.Refuse:
-		writeRefusal(x.w, e.Refusal, time.Now())
+		x.refuse(e.Refusal)
 		return true
 	case steering.Replay:
 		x.replay(e)
@@ -184,8 +199,32 @@
 	return false
 }
 
+// refuse answers with a refusal; the reducer does not know that an attempt ended because of the caller's body.
+func (x *exchange) refuse(r steering.Refusal) {
+	if x.bodyFailed {
+		r.Code, r.After = steering.CodeBody, time.Time{}
+	}
+	x.limitAnswer()
+	writeRefusal(x.w, r, time.Now())
+}
+
+// limitAnswer limits how long an answer may take on its way to the caller.
+func (x *exchange) limitAnswer() {
+	_ = x.control.SetWriteDeadline(time.Now().Add(drainTimeout + x.gateway.stallTimeout))
+}
+
+// closeBody reads a short rest of a body that the answer did not need, so that the connection can be used again, and
+// limits the time for it; the server would wait for the rest without a limit.
+func (x *exchange) closeBody() {
+	if x.ended || x.r.ContentLength == 0 {
+		return
+	}
+	_ = x.control.SetReadDeadline(time.Now().Add(drainTimeout))
+	_ = x.r.Body.Close()
+}
+
 func (x *exchange) readClaimedBody() {
-	if !x.readBody(DefaultMaxClaimedBody) {
+	if !x.readBody(min(DefaultMaxClaimedBody, x.gateway.maxBody)) || !x.buffered {
 		x.gateway.engine.Post(steering.BodyFailed{Request: x.request})
 		return
 	}
@@ -203,9 +242,10 @@
 
 func (x *exchange) replay(e steering.Replay) {
 	if e.Answer.Truncated {
-		writeRefusal(x.w, steering.Refusal{Code: steering.CodeKept, Outcome: steering.Ran}, time.Now())
+		x.refuse(steering.Refusal{Code: steering.CodeKept, Outcome: steering.Ran})
 		return
 	}
+	x.limitAnswer()
 	copyAnswerHeader(x.w.Header(), e.Answer.Header)
 	x.w.WriteHeader(e.Answer.Status)
 	_, _ = x.w.Write(e.Answer.Body)
--- a/internal/gateway/transport.go
+++ b/internal/gateway/transport.go
@@ -37,6 +37,8 @@
 	reused atomic.Bool
 	// early is set if the upstream's answer began before anything was sent on the connection.
 	early atomic.Bool
+	// wake stops a read of the caller's body that the transport waits for when the connection has closed.
+	wake func()
 }
 
 // guardedConn checks the first write of an attempt.
@@ -53,6 +55,7 @@
 	m       sync.Mutex
 	changed *sync.Cond
 	attempt *sendGuard
+	wake    func()
 	// isFirst is set until the attempt's first write.
 	isFirst bool
 	// reading is set while a read waits; all earlier bytes have been used then.
@@ -145,13 +148,16 @@
 	defer c.m.Unlock()
 	c.closed = true
 	c.changed.Signal()
+	if c.wake != nil {
+		c.wake()
+	}
 	return err
 }
 
 func (c *guardedConn) begin(guard *sendGuard) {
 	c.m.Lock()
 	defer c.m.Unlock()
-	c.attempt, c.isFirst = guard, true
+	c.attempt, c.wake, c.isFirst = guard, guard.wake, true
 }
 
 // answerBegins records an answer that begins before the request has been written.
