Free the slot of a request that ends in a panic, and abort its partial answer

Cause: a panic during an attempt posted no AttemptEnded, so the upstream's slot and the organisation's share stayed taken. A panic after a part of a chunked answer had been sent appended a refusal and ended the answer properly, so the caller saw a complete 200. For an HTTP/1.0 caller the end of the connection is the end of an answer of unknown length, so a part that was aborted looked whole.

Change: an attempt that a panic interrupts ends as cancelled, and a request that has begun to answer loses its connection. HTTP/1.0 callers get a reset instead of a proper end.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -25,6 +27,7 @@
 	guard    sendGuard
 	ctx      context.Context
 	stream   *stallingBody
+	isOver   bool
 	moved    id.Bytes
 	allowed  id.Bytes
 }
@@ -41,6 +44,7 @@
 	defer cancel()
 	a.ctx = withGuard(ctx, &a.guard)
 	defer a.finishStream()
+	defer a.release()
 	response, err := a.roundTrip()
 	if err != nil {
 		a.end(a.failure(err, false))
@@ -115,11 +119,20 @@
 }
 
 func (a *attempt) end(e steering.Ending) {
+	a.isOver = true
 	a.gateway.engine.Post(steering.AttemptEnded{
 		Request: a.request, Ending: e, Consumed: a.stream != nil && (a.isTouched() || a.guard.sent.Load()),
 	})
 }
 
+// release ends an attempt that a panic has interrupted, so that its slot is freed; the panic is not the upstream's
+// fault.
+func (a *attempt) release() {
+	if !a.isOver {
+		a.end(steering.Cancelled{})
+	}
+}
+
 func (a *attempt) upstreamRequest() *http.Request {
 	request := (&http.Request{
 		Method: a.r.Method,
@@ -231,6 +244,7 @@
 }
 
 func (a *attempt) forwardHead(response *http.Response) {
+	a.answering = true
 	copyAnswerHeader(a.w.Header(), response.Header)
 	a.w.WriteHeader(response.StatusCode)
 }
@@ -241,12 +255,32 @@
 	size, err := a.copyAnswer(response.Body, head)
 	if err != nil {
 		a.end(a.failure(err, true))
-		panic(http.ErrAbortHandler)
+		a.abort()
 	}
 	a.end(steering.Answered{Answer: a.kept(response, nil, true), Size: size})
 	a.observe()
 }
 
+// abort closes the caller's connection in the middle of an answer. Where only the end of the connection ends the answer,
+// as with HTTP/1.0, it resets the connection, because a proper end would make the part look whole.
+func (x *exchange) abort() {
+	if x.r.ProtoAtLeast(1, 1) {
+		panic(http.ErrAbortHandler)
+	}
+	conn, _, err := x.control.Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	if plain, ok := conn.(*net.TCPConn); ok {
+		_ = plain.SetLinger(0)
+	}
+	_ = conn.Close()
+	panic(http.ErrAbortHandler)
+}
+
 func (a *attempt) copyAnswer(body io.Reader, head []byte) (id.Bytes, error) {
 	buffer := copyBuffers.Get().(*[32 << 10]byte)
 	defer copyBuffers.Put(buffer)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -74,6 +75,9 @@
 	if c.MaxBody == 0 {
 		c.MaxBody = DefaultMaxStreamed
 	}
+	if c.Log == nil {
+		c.Log = log.New(io.Discard)
+	}
 	if c.StallTimeout == 0 {
 		c.StallTimeout = DefaultStallTimeout
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -37,11 +37,14 @@
 	ended bool
 	// bodyFailed is set if an attempt ended because of the caller's body.
 	bodyFailed bool
-	effects    chan steering.RequestEffect
+	// answering is set once a part of the answer may have been written.
+	answering bool
+	effects   chan steering.RequestEffect
 }
 
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	x := g.newExchange(w, r)
+	defer x.recoverPanic()
 	defer x.closeBody()
 	refusal := x.prepare()
 	if refusal != nil {
@@ -204,6 +207,7 @@
 	if x.bodyFailed {
 		r.Code, r.After = steering.CodeBody, time.Time{}
 	}
+	x.answering = true
 	x.limitAnswer()
 	writeRefusal(x.w, r, time.Now())
 }
@@ -223,6 +227,24 @@
 	_ = x.r.Body.Close()
 }
 
+// recoverPanic ends only the request that failed; a caller that has a part of its answer loses its connection,
+// because anything written after that part would look like the rest of it.
+func (x *exchange) recoverPanic() {
+	failure := recover()
+	if failure == nil {
+		return
+	}
+	if failure == http.ErrAbortHandler { //nolint:errorlint // net/http compares by identity
+		panic(failure)
+	}
+	x.gateway.log.Error("request failed with a panic", "panic", failure)
+	x.gateway.engine.Post(steering.CallerGone{Request: x.request})
+	if x.answering {
+		x.abort()
+	}
+	x.refuse(steering.Refusal{Code: steering.CodeUnknown, Outcome: steering.OutcomeUnknown})
+}
+
 func (x *exchange) readClaimedBody() {
 	if !x.readBody(min(DefaultMaxClaimedBody, x.gateway.maxBody)) || !x.buffered {
 		x.gateway.engine.Post(steering.BodyFailed{Request: x.request})
@@ -245,6 +267,7 @@
 		x.refuse(steering.Refusal{Code: steering.CodeKept, Outcome: steering.Ran})
 		return
 	}
+	x.answering = true
 	x.limitAnswer()
 	copyAnswerHeader(x.w.Header(), e.Answer.Header)
 	x.w.WriteHeader(e.Answer.Status)
