Run the gateway's waiting tests in parallel

Cause: the tests took 16 to 19 s with -race, close to their limit of 20 s, mostly in waits for timeouts.

Change: tests that mostly wait run in parallel.

--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -140,6 +140,7 @@
 // Guards against a request that must not be repeated being sent twice by net/http, which repeats a request with an
 // Idempotency-Key on its own when a reused connection breaks; also against "not sent" for a request that was sent.
 func TestKeptRequestIsSentOnce(t *testing.T) {
+	t.Parallel()
 	// Each one is a way to end a connection during its second request.
 	breaks := map[string]func(c *net.TCPConn, r *bufio.Reader) int{
 		"at once":           func(*net.TCPConn, *bufio.Reader) int { return 0 },
@@ -221,6 +222,7 @@
 // Guards against bytes sent without authority: after DispatchBy neither the first try nor net/http's own repeat of an
 // idempotent request may send anything, on new and on reused connections.
 func TestNothingIsSentAfterDispatchBy(t *testing.T) {
+	t.Parallel()
 	var heads atomic.Int64
 	upstream := serveRaw(t, func(c *net.TCPConn, r *bufio.Reader) {
 		for isFirst := true; ; isFirst = false {
--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -23,6 +23,7 @@
 // Guards against a caller holding a dispatch while it sends a small body slowly or not at all, with a declared length
 // and with chunks.
 func TestSmallBodyIsReadBeforeDispatch(t *testing.T) {
+	t.Parallel()
 	upstream, heads := recorded(t, ok)
 	e := &engine{upstream: upstream}
 	address := e.start(t, gateway.Config{StallTimeout: 300 * time.Millisecond})
@@ -97,6 +98,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			if test.upstream == nil {
 				test.upstream = func(_ *net.TCPConn, r *bufio.Reader) { _, _ = io.Copy(io.Discard, r) }
 			}
@@ -145,6 +147,7 @@
 // Guards against bodies being held in memory or changed: both directions stream with the receiver's pace, and what
 // arrives is what was sent.
 func TestBodiesStream(t *testing.T) {
+	t.Parallel()
 	const size, stuck = 8 << 20, 256 << 20
 	release := make(chan bool)
 	e := &engine{upstream: serveRaw(t, func(c *net.TCPConn, r *bufio.Reader) {
@@ -191,6 +194,7 @@
 
 // Guards against bodies over the limits reaching an upstream, and against a caller that waits for the word to go on.
 func TestBodyLimitsAndContinue(t *testing.T) {
+	t.Parallel()
 	upstream, heads := recorded(t, ok)
 	e := &engine{upstream: upstream}
 	address := e.start(t, gateway.Config{MaxBody: 1000})
--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -84,6 +84,7 @@
 
 // Guards against deadlines that are lost on the way or wrap around.
 func TestDeadlines(t *testing.T) {
+	t.Parallel()
 	upstream, heads := recorded(t, "")
 	e := &engine{upstream: upstream, patience: 300 * time.Millisecond}
 	address := e.start(t, gateway.Config{})
