Ignore a late answer to a reclaim once a successor's lease was seen

A reclaim whose answer came late overwrote what a later read had shown of the lease row. The lender then took the successor's lease for gone and used slots that it had lent to it. The answer now applies only to the version of the row that was removed.

The simulation attributed a borrowed slot to the lender's process at the time of the check, not to the tenure of the lease row in which it was granted. It raised false alarms when a lender was replaced, or lost and regained its row, before the reply arrived. Loans are now attributed to the tenure at the sending of the reply; the dump of a loan shows its id.

--- a/allotment/dump.go
+++ b/allotment/dump.go
@@ -36,6 +36,7 @@
 
 // LoanDump is one borrowed amount.
 type LoanDump struct {
+	ID       uint64      `json:"id"`
 	Lender   id.Instance `json:"lender"`
 	Amount   id.Tokens   `json:"amount"`
 	Deadline time.Time   `json:"deadline"`
@@ -67,7 +68,7 @@
 		d.Error = a.rowErr.Error()
 	}
 	for _, b := range a.borrowing {
-		d.Borrowed = append(d.Borrowed, LoanDump{Lender: b.lender, Amount: b.left, Deadline: b.deadline})
+		d.Borrowed = append(d.Borrowed, LoanDump{ID: b.id, Lender: b.lender, Amount: b.left, Deadline: b.deadline})
 	}
 	return d
 }
--- a/allotment/lease.go
+++ b/allotment/lease.go
@@ -132,7 +132,9 @@
 	if !ok || seen.version == 0 || seen.row.Incarnation != incarnation || !now.Before(l.until) {
 		return false
 	}
-	return !slices.ContainsFunc(l.attempts, func(t *attempt) bool { return slices.Contains(t.reclaims, from) })
+	return !slices.ContainsFunc(l.attempts, func(t *attempt) bool {
+		return slices.ContainsFunc(t.reclaims, func(r reclaim) bool { return r.instance == from })
+	})
 }
 
 func (l *Ledger) acceptPromise(from id.Instance, m Promise) {
@@ -152,8 +154,8 @@
 //
 // What was seen before this instance held its own lease does not count. So a successor waits at least one term, in
 // which the promises of its predecessor end.
-func (l *Ledger) reclaimable(now time.Time) []id.Instance {
-	var gone []id.Instance
+func (l *Ledger) reclaimable(now time.Time) []reclaim {
+	var gone []reclaim
 	for _, instance := range l.watched {
 		seen, ok := l.leases[instance]
 		if !ok || seen.version == 0 || instance == l.config.Self.Instance || now.Before(l.given[instance]) {
@@ -164,7 +166,7 @@
 			wait = l.config.Term
 		}
 		if !now.Before(seen.since.Add(wait)) && len(gone) < maxReclaims {
-			gone = append(gone, instance)
+			gone = append(gone, reclaim{instance: instance, version: seen.version})
 		}
 	}
 	return gone
--- a/allotment/sim_test.go
+++ b/allotment/sim_test.go
@@ -37,13 +37,7 @@
 	inbox       []allotment.Event
 	// used counts slots; covered counts those that were taken under the present lease row.
 	used, covered map[id.Limit]int
-	loans         map[loanKey]id.Incarnation
-}
-
-type loanKey struct {
-	lender   id.Instance
-	limit    id.Limit
-	deadline time.Time
+	loans         map[uint64]int
 }
 
 // bucket is the exact oracle of a rate limit: what all instances together may spend.
@@ -73,12 +67,14 @@
 	// rows and leases hold the share rows and the incarnations in the lease rows as of the last write.
 	rows   map[id.Limit]map[id.Instance]id.Parts
 	leases map[id.Instance]id.Incarnation
+	// tenures counts how often each lease row has passed to another process or to none.
+	tenures map[id.Instance]int
 }
 
 func newWorld(t require.TestingT, seed uint64, config allotment.Config, limits ...allotment.Limit) *world {
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: epoch, config: config,
-		limits: limits, buckets: map[id.Limit]*bucket{}, leases: map[id.Instance]id.Incarnation{},
+		limits: limits, buckets: map[id.Limit]*bucket{}, leases: map[id.Instance]id.Incarnation{}, tenures: map[id.Instance]int{},
 	}
 	for _, limit := range limits {
 		if amount, ok := limit.Amount.(allotment.Rate); ok {
@@ -127,7 +123,7 @@
 		incarnation: id.Incarnation(w.random.Uint64()),
 		drift:       (w.random.Float64() - 0.5) / 125, // 0.4% either way
 		offset:      time.Duration(w.random.IntN(1e6)) * time.Millisecond,
-		used:        map[id.Limit]int{}, covered: map[id.Limit]int{}, loans: map[loanKey]id.Incarnation{},
+		used:        map[id.Limit]int{}, covered: map[id.Limit]int{}, loans: map[uint64]int{},
 	}
 	p.member.Region = regions[int(name[len(name)-1])%len(regions)]
 	config := w.config
@@ -207,8 +203,9 @@
 		}
 		switch e := e.(type) {
 		case allotment.Send:
+			tenure := w.tenures[p.member.Instance]
 			for range w.copies() {
-				w.after(w.latency(), func() { w.deliver(p, e) })
+				w.after(w.latency(), func() { w.deliver(p, e, tenure) })
 			}
 		case allotment.Transact:
 			w.after(w.latency(), func() { w.transact(p, e) })
@@ -226,17 +223,25 @@
 	return 1
 }
 
-func (w *world) deliver(from *process, e allotment.Send) {
+func (w *world) deliver(from *process, e allotment.Send, tenure int) {
 	if from.cut {
 		return
 	}
 	for _, p := range w.processes {
 		if p.member.Instance == e.To && !p.dead && !p.cut {
+			p.noteLoan(e.Message, tenure)
 			w.post(p, allotment.MessageReceived{From: from.member.Instance, Message: e.Message})
 		}
 	}
 }
 
+// noteLoan keeps in which tenure of its lease row the lender granted a loan; the next tenure does not know of it.
+func (p *process) noteLoan(m allotment.Message, tenure int) {
+	if reply, ok := m.(allotment.LoanReply); ok && reply.Amount > 0 && p.loans[reply.ID] == 0 {
+		p.loans[reply.ID] = tenure
+	}
+}
+
 func (w *world) unreachable(p *process) bool { return p.cut || w.now.Before(w.outage) }
 
 func (w *world) transact(p *process, e allotment.Transact) {
@@ -336,7 +341,10 @@
 	for _, p := range w.processes {
 		var value struct{ Incarnation id.Incarnation }
 		w.decode("lease/"+string(p.member.Instance), &value)
-		w.leases[p.member.Instance] = value.Incarnation
+		if w.leases[p.member.Instance] != value.Incarnation {
+			w.leases[p.member.Instance] = value.Incarnation
+			w.tenures[p.member.Instance]++
+		}
 		if w.leases[p.member.Instance] != p.incarnation {
 			clear(p.covered)
 		}
@@ -419,12 +427,7 @@
 func (w *world) uncoveredLoans(p *process, d allotment.LimitDump) int {
 	broken := 0
 	for _, b := range d.Borrowed {
-		key := loanKey{b.Lender, d.Limit, b.Deadline}
-		current := w.leases[b.Lender]
-		if _, ok := p.loans[key]; !ok {
-			p.loans[key] = current
-		}
-		if p.loans[key] != current {
+		if p.loans[b.ID] != w.tenures[b.Lender] {
 			broken += int(b.Amount)
 		}
 	}
--- a/allotment/table.go
+++ b/allotment/table.go
@@ -31,10 +31,16 @@
 	sentAt   time.Time
 	witness  id.Instance
 	changes  []change
-	reclaims []id.Instance
+	reclaims []reclaim
 	release  bool
 }
 
+// reclaim is the removal of another instance's lease row as of one version.
+type reclaim struct {
+	instance id.Instance
+	version  uint64
+}
+
 // reading is the outstanding read of rows.
 type reading struct {
 	id     uint64
@@ -192,8 +198,8 @@
 		Writes:     []platform.Write{own},
 	}
 	for _, gone := range t.reclaims {
-		name := leaseName(gone)
-		result.Conditions = append(result.Conditions, platform.Condition{Name: name, Version: l.leases[gone].version})
+		name := leaseName(gone.instance)
+		result.Conditions = append(result.Conditions, platform.Condition{Name: name, Version: gone.version})
 		result.Writes = append(result.Writes, platform.Write{Name: name, Delete: true})
 	}
 	for _, c := range t.changes {
@@ -273,7 +279,16 @@
 		l.commitChange(now, c, written)
 	}
 	for _, gone := range t.reclaims {
-		l.leases[gone] = &leaseSeen{asked: l.calls, since: now}
-		l.dirtyHeldBy(now, gone)
+		l.commitReclaim(now, gone)
+	}
+}
+
+// commitReclaim notes a removed lease row. If another version has been seen since, the answer is late and the row may
+// already be that of a successor.
+func (l *Ledger) commitReclaim(now time.Time, gone reclaim) {
+	if seen, ok := l.leases[gone.instance]; ok && seen.version != gone.version {
+		return
 	}
+	l.leases[gone.instance] = &leaseSeen{asked: l.calls, since: now}
+	l.dirtyHeldBy(now, gone.instance)
 }
