Give the ledger its members when an instance is alone

Cause: the ledger takes no lease before it knows the members, and they were passed on only when the membership view changed. A lone instance's view never changes, so it served nothing; found by the forwarding benchmark. The first list is now always passed on.

--- a/internal/steering/faults_test.go
+++ b/internal/steering/faults_test.go
@@ -251,6 +251,16 @@
 	require.Empty(t, s.requests)
 }
 
+// Guards against an instance that is alone in its fleet and never takes its shares.
+func TestSingleInstanceServes(t *testing.T) {
+	s := newSim(t, 30, 1)
+	s.startZadruga()
+	c := s.call(s.nodes[0], s.check("zbor"))
+	s.run(2 * time.Second)
+	require.Nil(t, c.refusal)
+	require.Equal(t, 1, c.runs)
+}
+
 // Guards against a fleet that serves nothing after all its instances were killed and started again at once.
 func TestFleetRecoversAfterTotalRestart(t *testing.T) {
 	s := newSim(t, 28, 7)
--- a/internal/steering/peers.go
+++ b/internal/steering/peers.go
@@ -56,15 +56,31 @@
 	if e.Failed {
 		return
 	}
+	changes := s.view.Reduce(s.now, fleet.Listed{Members: e.Members})
+	if !s.isListed && len(changes) == 0 {
+		// The first list of an instance that is alone changes nothing in the view, but the ledger waits for it.
+		s.publishMembers()
+	}
 	s.isListed = true
-	s.viewChanged(s.view.Reduce(s.now, fleet.Listed{Members: e.Members}))
+	s.viewChanged(changes)
 }
 
-// viewChanged tells the sessions and the ledger about a change of members.
+// viewChanged reports changes of members and tells the sessions and the ledger about them.
 func (s *State) viewChanged(changes []fleet.Change) {
 	if len(changes) == 0 {
 		return
 	}
+	for _, c := range changes {
+		s.report("fleet", "instance changed its status", "instance", c.Instance, "status", c.To)
+		if c.To == fleet.Gone {
+			delete(s.peers, c.Instance)
+		}
+	}
+	s.publishMembers()
+}
+
+// publishMembers tells the look-ups, the sessions and the ledger which instances there are.
+func (s *State) publishMembers() {
 	s.gatherCandidates()
 	var members []platform.Member
 	shares := []allotment.Member{ledgerMember(s.self, !s.stopping.isLeaving())}
@@ -77,12 +93,6 @@
 		}
 		shares = append(shares, ledgerMember(m.Member, m.Status == fleet.Live))
 	}
-	for _, c := range changes {
-		s.report("fleet", "instance changed its status", "instance", c.Instance, "status", c.To)
-		if c.To == fleet.Gone {
-			delete(s.peers, c.Instance)
-		}
-	}
 	s.emit(SetPeers{Members: members})
 	s.ledgerReduce(allotment.MembersChanged{Members: shares})
 }
