Make the witness read a new lease row at once

Cause: a witness promises only for a lease row that it has read, and it polls the rows every 2 s. A holder now asks early, without using the answer, until the witness knows the row.

--- a/allotment/basic_test.go
+++ b/allotment/basic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -106,6 +107,31 @@
 	}
 }
 
+// Guards against a witness that cannot promise in a table outage that begins just after the instances have started,
+// because it has not read the holder's lease row yet.
+func TestTableOutageJustAfterTheStartLosesNoAuthority(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newWorld(t, seed, allotment.Config{}, large)
+		for i := range 7 {
+			w.start(fmt.Sprint("instance-", i), fmt.Sprint("127.0.0.1:", i))
+		}
+		for !w.allHaveAuthority() {
+			w.run(20 * time.Millisecond)
+		}
+		// The first request for a promise makes the witness read the lease row; the second one is granted.
+		w.run(1500 * time.Millisecond)
+		w.outage = w.now.Add(time.Minute)
+		for range 59 {
+			w.run(time.Second)
+			require.True(t, w.allHaveAuthority(), "seed %d at %s", seed, w.now.Sub(epoch))
+		}
+	}
+}
+
+func (w *world) allHaveAuthority() bool {
+	return !slices.ContainsFunc(w.processes, func(p *process) bool { return !w.authority(p) })
+}
+
 // Guards against a table outage taking authority from instances whose peers live.
 func TestTableOutageWithLivePeersLosesNoAuthority(t *testing.T) {
 	t.Parallel()
--- a/allotment/lease.go
+++ b/allotment/lease.go
@@ -20,6 +20,8 @@
 	// renewedAt is the send time of the last renewal that is known to have taken effect.
 	renewedAt time.Time
 	witness   id.Instance
+	// isWitnessed is set once a witness has shown that it knows the lease row of this tenure.
+	isWitnessed bool
 }
 
 // leaseSeen is the lease row of another instance; since is when this version was first seen.
@@ -30,10 +32,12 @@
 	since   time.Time
 }
 
+// promiseAsk is a request for a promise; an early one only finds out whether the witness knows the lease row.
 type promiseAsk struct {
 	id     uint64
 	to     id.Instance
 	sentAt time.Time
+	early  bool
 }
 
 // maxPromiseAsks bounds the unanswered requests that are kept; a request is repeated about every second.
@@ -89,10 +93,15 @@
 	return all
 }
 
-// askPromises asks the witness once a renewal is overdue, which in steady state never happens.
+// askPromises asks the witness whenever a renewal is overdue, which in steady state never happens, and until the
+// witness knows the lease row. Without the early requests, a witness could not promise anything in a table outage that
+// begins before it next polls the rows.
 func (l *Ledger) askPromises(now time.Time) []Effect {
-	overdue := l.lease.renewedAt.Add(l.config.RenewEvery * 3 / 2)
-	if now.Before(overdue) || now.Before(l.promiseAskAt) || !now.Before(l.until) {
+	early := now.Before(l.lease.renewedAt.Add(l.config.RenewEvery * 3 / 2))
+	if early && l.lease.isWitnessed {
+		return nil
+	}
+	if now.Before(l.promiseAskAt) || !now.Before(l.until) {
 		// Authority that has ended is not revived by a promise, because a reclaim may be under way.
 		return nil
 	}
@@ -102,7 +111,7 @@
 		if witness == "" {
 			continue
 		}
-		ask := promiseAsk{id: l.newID(), to: witness, sentAt: now}
+		ask := promiseAsk{id: l.newID(), to: witness, sentAt: now, early: early}
 		l.promiseAsks = append(l.promiseAsks, ask)
 		effects = append(effects, Send{To: witness, Message: PromiseRequest{
 			ID: ask.id, Incarnation: l.config.Incarnation,
@@ -120,6 +129,8 @@
 	if l.mayPromise(now, from, m.Incarnation) {
 		answer.Term = l.config.Term
 		l.given[from] = now.Add(answer.Term)
+	} else if seen, ok := l.leases[from]; !ok || seen.row.Incarnation != m.Incarnation {
+		l.pollAt = now
 	}
 	return []Effect{Send{To: from, Message: answer}}
 }
@@ -142,9 +153,13 @@
 	if i < 0 {
 		return
 	}
-	end := l.promiseAsks[i].sentAt.Add(l.config.shorten(m.Term))
+	ask := l.promiseAsks[i]
+	end := ask.sentAt.Add(l.config.shorten(m.Term))
 	l.promiseAsks = slices.Delete(l.promiseAsks, i, i+1)
-	if m.Term > 0 && l.lease.held {
+	if m.Term > 0 {
+		l.lease.isWitnessed = true
+	}
+	if m.Term > 0 && l.lease.held && !ask.early {
 		l.received[from] = later(l.received[from], end)
 		l.updateUntil()
 	}
@@ -192,7 +207,7 @@
 
 // beginTenure starts to hold the lease. Nothing is known of the share rows and of other leases from before.
 func (l *Ledger) beginTenure(now time.Time, succeeds bool) {
-	l.lease.held, l.lease.hadOnce = true, true
+	l.lease.held, l.lease.hadOnce, l.lease.isWitnessed = true, true, false
 	if succeeds {
 		// The predecessor may have lent its tokens until a loan term after this process began.
 		wait := l.config.LoanTerm + l.config.LoanTerm*time.Duration(l.config.DriftPercent)/100
