Measure the slopes that the capacity plan needs

The plan for 5,200 nodes needs costs by member, limit, client block and call that no benchmark showed.

--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"bluebellhold/id"
 	"bluebellhold/internal/peer"
@@ -80,3 +81,32 @@
 		hub.Close()
 	}
 }
+
+// Measures the encoded sizes of the messages that the capacity plan counts, without the frame's length and yamux.
+func BenchmarkMessageSize(b *testing.B) {
+	const limit = "organisation/organisation-0000"
+	for _, message := range []struct {
+		name     string
+		envelope *wire.Envelope
+	}{
+		{"loanrequest", &wire.Envelope{Payload: &wire.Envelope_LoanRequest{LoanRequest: &wire.LoanRequest{
+			Id: 1 << 60, Incarnation: 1 << 60, Limit: limit, Amount: 12.5,
+		}}}},
+		{"loanreply", &wire.Envelope{Payload: &wire.Envelope_LoanReply{LoanReply: &wire.LoanReply{
+			Id: 1 << 60, Limit: limit, Amount: 12.5, Term: int64(time.Second),
+		}}}},
+		{"epochannounced", &wire.Envelope{Payload: &wire.Envelope_EpochAnnounced{EpochAnnounced: &wire.EpochAnnounced{
+			Epoch: 1 << 20, Digest: make([]byte, 32),
+		}}}},
+	} {
+		b.Run(message.name, func(b *testing.B) {
+			size := 0
+			for b.Loop() {
+				body, err := proto.Marshal(message.envelope)
+				require.NoError(b, err)
+				size = len(body)
+			}
+			b.ReportMetric(float64(size), "encoded-B")
+		})
+	}
+}
--- /dev/null
+++ b/note/bench_test.go
@@ -0,0 +1,86 @@
+package note_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhold/id"
+	"bluebellhold/note"
+)
+
+// fleetConfiguration has the given number of client blocks and the 690 sites that they are steered to.
+func fleetConfiguration(blocks int) note.Configuration {
+	c := note.Configuration{
+		Epoch: 1 << 20, Note: "note-1048576", Sites: map[id.Site]note.Site{}, Blocks: map[string]id.Site{},
+	}
+	for i := range 690 {
+		region := id.Region(fmt.Sprintf("region-%d", i%12))
+		c.Sites[id.Site(fmt.Sprintf("site-%d", i))] = note.Site{Region: region, DataCentre: id.DataCentre(fmt.Sprintf("%s-%d", region, i%4))}
+	}
+	for i := range blocks {
+		c.Blocks[blockName(i)] = id.Site(fmt.Sprintf("site-%d", i%690))
+	}
+	return c
+}
+
+// blockName names an IPv6 block for every fourth number and an IPv4 block for the others.
+func blockName(i int) string {
+	if i%4 == 0 {
+		return fmt.Sprintf("2001:%x:%x::/48", 0x1000+i>>8, 0x1000+i&0xff)
+	}
+	return fmt.Sprintf("%d.%d.%d.0/24", 16+i>>16, i>>8&0xff, i&0xff)
+}
+
+// BenchmarkConfiguration measures the encoded size, the decoding, the compilation and the retained memory of a
+// configuration. The difference between both sizes gives the cost of a client block.
+func BenchmarkConfiguration(b *testing.B) {
+	for _, blocks := range []int{0, 310_000} {
+		body, _, err := note.Encode(fleetConfiguration(blocks))
+		require.NoError(b, err)
+		var decoded note.Configuration
+		b.Run(fmt.Sprintf("decode/blocks=%d", blocks), func(b *testing.B) {
+			heap := retained()
+			for b.Loop() {
+				decoded, err = note.Decode(body)
+				require.NoError(b, err)
+			}
+			b.ReportMetric(float64(len(body)), "encoded-B")
+			b.ReportMetric(float64(retained()-heap), "retained-B")
+		})
+		b.Run(fmt.Sprintf("compile/blocks=%d", blocks), func(b *testing.B) {
+			for b.Loop() {
+				require.NotNil(b, note.Compile(decoded))
+			}
+		})
+	}
+}
+
+func retained() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// BenchmarkApplyChange measures a note that moves one client block to another site, with the encoding of the epoch
+// that follows.
+func BenchmarkApplyChange(b *testing.B) {
+	c := fleetConfiguration(310_000)
+	change := note.Note{ID: "note-1048577", Base: &c.Epoch}
+	change.Change.Blocks = map[string]id.Site{blockName(7): "site-8"}
+	text, err := json.Marshal(change)
+	require.NoError(b, err)
+	parsed, err := note.Parse(text)
+	require.NoError(b, err)
+	for b.Loop() {
+		next, err := note.Apply(c, parsed)
+		require.NoError(b, err)
+		_, _, err = note.Encode(next)
+		require.NoError(b, err)
+	}
+	b.ReportMetric(float64(len(text)), "note-B")
+}
