--- a/note/bench_test.go
+++ b/note/bench_test.go
@@ -3,12 +3,15 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"runtime"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"bluebellhold/id"
+	"bluebellhold/lookup"
 	"bluebellhold/note"
 )
 
@@ -84,3 +87,41 @@
 	}
 	b.ReportMetric(float64(len(text)), "note-B")
 }
+
+// BenchmarkStart measures the time and the peak of the heap while a node decodes a snapshot and builds its table.
+func BenchmarkStart(b *testing.B) {
+	body, _, err := note.Encode(fleetConfiguration(310_000))
+	require.NoError(b, err)
+	for b.Loop() {
+		retained()
+		stop, peak := make(chan struct{}), make(chan uint64)
+		go samplePeak(stop, peak)
+		c, err := note.Decode(body)
+		require.NoError(b, err)
+		var blocks []lookup.Block
+		for prefix, site := range c.Blocks {
+			blocks = append(blocks, lookup.Block{Prefix: netip.MustParsePrefix(prefix), Site: site})
+		}
+		table, err := lookup.Build(blocks)
+		require.NoError(b, err)
+		require.Equal(b, 310_000, table.Len())
+		close(stop)
+		b.ReportMetric(float64(<-peak), "peak-B")
+	}
+}
+
+// samplePeak sends the largest size of the heap, garbage included, that it saw until stop is closed.
+func samplePeak(stop <-chan struct{}, peak chan<- uint64) {
+	var largest uint64
+	for {
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		largest = max(largest, stats.HeapInuse)
+		select {
+		case <-stop:
+			peak <- largest
+			return
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
