Check that the measured instances hold shares

BenchmarkHeldLimits would have reported the cost of idle ledgers had no share been granted. It now fails if fewer shares than organisations are held; with two instances and 8,000 organisations all are (go test -run '^$' -bench HeldLimits -benchtime 20x ./internal/steering).

--- a/internal/steering/fleet_bench_test.go
+++ b/internal/steering/fleet_bench_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"bluebellhold/allotment"
 	"bluebellhold/id"
 	"bluebellhold/note"
 )
@@ -66,6 +67,15 @@
 			s.run(time.Minute)
 			require.NoError(b, reply.Err)
 			require.Equal(b, id.Epoch(1), s.nodes[1].state.Configuration().Epoch)
+			held := 0
+			for _, n := range s.nodes {
+				for _, limit := range n.state.Dump(s.now).Ledger.(allotment.Dump).Limits {
+					if limit.Parts > 0 {
+						held++
+					}
+				}
+			}
+			require.GreaterOrEqual(b, held, organisations)
 			for b.Loop() {
 				s.run(time.Second)
 			}
