Refuse misspelt names and arguments in the operators' tools

The operators' log prefix was also written twice.

The look-up path now answers "absent", both programs end with status 2 for the wrong arguments, the USE columns are gone and "use" is left out of the JSON form while it is not measured. The list of organisations is headed by what it holds: those refused for their rate.

TestPathsReachTheirMethod expects the configuration to be read before a look-up, since the names are checked against it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,7 +42,13 @@
 		Writer:         w,
 		ErrWriter:      w,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return &UsageError{Text: err.Error()}
+		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Present() {
+				return &UsageError{Text: "unknown argument " + c.Args().First()}
+			}
 			return run(ctx, c.String("settings"), c.Bool("check"), w)
 		},
 	}
@@ -123,6 +129,16 @@
 	return config, addCertificates(&config, s.TLS)
 }
 
+// UsageError reports wrong arguments.
+type UsageError struct {
+	Text string
+}
+
+// Error describes the wrong argument.
+func (e *UsageError) Error() string {
+	return "bluebellholdd: " + e.Text + "; run bluebellholdd --help for the arguments"
+}
+
 // RunError reports a failure after the settings were accepted.
 type RunError struct {
 	Cause error
--- a/internal/operator/backend.go
+++ b/internal/operator/backend.go
@@ -104,7 +104,7 @@
 	Running  id.Slots    `json:"running"`
 }
 
-// Shift is a traffic shift with its cap and the rate that it moves now.
+// Shift is a traffic shift with its cap and the rate that it moves now; a zero Use is not measured.
 type Shift struct {
 	Shift   id.Shift           `json:"shift"`
 	Service id.Service         `json:"service"`
@@ -112,13 +112,15 @@
 	To      id.Region          `json:"to"`
 	Percent int                `json:"percent"`
 	Cap     id.TokensPerSecond `json:"cap"`
-	Use     id.TokensPerSecond `json:"use"`
+	Use     id.TokensPerSecond `json:"use,omitzero"`
 }
 
-// Organisation is an organisation near its limit, with the rate that it may use and the rate that it uses.
+// Organisation is an organisation of which this instance has refused requests for their rate since it started.
+//
+// A zero Use is not measured.
 type Organisation struct {
 	Organisation id.Organisation    `json:"organisation"`
 	Rate         id.TokensPerSecond `json:"rate"`
-	Use          id.TokensPerSecond `json:"use"`
+	Use          id.TokensPerSecond `json:"use,omitzero"`
 	Refused      int64              `json:"refused"`
 }
--- a/internal/operator/doc.go
+++ b/internal/operator/doc.go
@@ -12,7 +12,7 @@
 //	GET  /dump           state of this instance, without secrets
 //	GET  /configuration  configuration in force, without the digests of keys
 //	GET  /lookup         ?service=&organisation=&address=: the look-up response that a caller would get;
-//	                     without an organisation, that of a caller without a key
+//	                     without an organisation, that of a caller without a key; "expires" is a time here
 //	GET  /metrics        metrics of this instance
 //	POST /stop           start a planned stop
 package operator
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -91,7 +91,7 @@
 			refused, wrapped := classify(err)
 			status = merry.HTTPCode(wrapped)
 			body, _ = json.Marshal(refused)
-			s.Log.Info("operator: request refused", "method", r.Method, "path", r.URL.Path, "status", status, "error", err)
+			s.Log.Info("request refused", "method", r.Method, "path", r.URL.Path, "status", status, "error", err)
 		}
 		w.Header().Set("Content-Type", "application/json")
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -104,7 +104,7 @@
 func (s *server) answer(w http.ResponseWriter, r *http.Request, call func(*http.Request) (any, error)) (body []byte, err error) {
 	defer func() {
 		if fault := recover(); fault != nil {
-			s.Log.Error("operator: panic", "method", r.Method, "path", r.URL.Path, "fault", fault, "stack", string(debug.Stack()))
+			s.Log.Error("panic", "method", r.Method, "path", r.URL.Path, "fault", fault, "stack", string(debug.Stack()))
 			body, err = nil, &PanicError{}
 		}
 	}()
@@ -206,7 +206,26 @@
 	if err != nil {
 		return nil, &note.FieldError{Path: "address", Value: strconv.Quote(query.Get("address")), Allowed: "an IP number"}
 	}
-	return s.Backend.Lookup(r.Context(), id.Service(query.Get("service")), id.Organisation(query.Get("organisation")), address)
+	service, organisation := id.Service(query.Get("service")), id.Organisation(query.Get("organisation"))
+	if err := s.checkExists(r.Context(), service, organisation); err != nil {
+		return nil, err
+	}
+	return s.Backend.Lookup(r.Context(), service, organisation, address)
+}
+
+// checkExists refuses names that the configuration does not have, so that a misspelt name gets no plausible answer.
+func (s *server) checkExists(ctx context.Context, service id.Service, organisation id.Organisation) error {
+	c, err := s.Backend.Configuration(ctx)
+	if err != nil {
+		return err
+	}
+	if _, ok := c.Services[service]; !ok {
+		return &NotFoundError{Kind: "service", Name: string(service)}
+	}
+	if _, ok := c.Organisations[organisation]; !ok && organisation != "" {
+		return &NotFoundError{Kind: "organisation", Name: string(organisation)}
+	}
+	return nil
 }
 
 func (s *server) metrics(*http.Request) (any, error) {
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -58,7 +58,12 @@
 }
 
 func (b *backend) Configuration(context.Context) (note.Configuration, error) {
-	return note.Configuration{Epoch: 7, Keys: map[id.Key]note.Key{"k1": {Organisation: "sola", Digest: id.DigestOf([]byte("x"))}}}, b.call("configuration")
+	return note.Configuration{
+		Epoch:         7,
+		Organisations: map[id.Organisation]note.Organisation{"sola": {}},
+		Keys:          map[id.Key]note.Key{"k1": {Organisation: "sola", Digest: id.DigestOf([]byte("x"))}},
+		Services:      map[id.Service]note.Service{"pregled": {}},
+	}, b.call("configuration")
 }
 
 func (b *backend) Lookup(_ context.Context, s id.Service, o id.Organisation, a netip.Addr) (any, error) {
@@ -98,8 +103,8 @@
 		{"GET", "/status", "status", `"status":"live"`},
 		{"GET", "/dump", "dump", `{"state":1}`},
 		{"GET", "/configuration", "configuration", `"keys":{"k1":{"organisation":"sola"}}`},
-		{"GET", "/lookup?service=pregled&organisation=sola&address=10.0.0.1", "lookup", `["pregled","sola","10.0.0.1"]`},
-		{"GET", "/lookup?service=pregled&address=::1", "lookup", `["pregled","","::1"]`},
+		{"GET", "/lookup?service=pregled&organisation=sola&address=10.0.0.1", "configuration lookup", `["pregled","sola","10.0.0.1"]`},
+		{"GET", "/lookup?service=pregled&address=::1", "configuration lookup", `["pregled","","::1"]`},
 		{"GET", "/metrics", "", `{"requests":{"count":3}}`},
 		{"POST", "/stop", "stop", `{}`},
 	} {
@@ -171,6 +176,13 @@
 		require.Equal(t, c.code, refused.Code)
 		require.Empty(t, b.calls)
 	}
+	for _, query := range []string{"service=pregld", "service=pregled&organisation=sol"} {
+		b := &backend{}
+		w, refused := send(t, b, "GET", "/lookup?address=::1&"+query, "Bearer "+token, "")
+		require.Equal(t, http.StatusNotFound, w.Code, query)
+		require.Equal(t, "absent", refused.Code)
+		require.NotContains(t, b.calls, "lookup", "a misspelt name must not get an answer")
+	}
 	w, refused := send(t, &backend{act: func() { panic("detail of the fault") }}, "GET", "/status", "Bearer "+token, "")
 	require.Equal(t, 500, w.Code)
 	require.Equal(t, operator.Unknown, refused.Outcome)
--- a/internal/tool/client.go
+++ b/internal/tool/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"net/url"
 	"os"
 	"strings"
@@ -43,6 +44,11 @@
 	if len(c.addresses) == 0 {
 		return nil, &UsageError{Text: "--operator is needed: the operators' address of an instance, such as 10.1.2.3:8003"}
 	}
+	for _, address := range c.addresses {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return nil, &UsageError{Text: "--operator " + address + " is not an IP number and a port, such as 10.1.2.3:8003"}
+		}
+	}
 	if cmd.String("token") == "" {
 		return nil, &UsageError{Text: "--token is needed: the file with the operators' token"}
 	}
--- a/internal/tool/print.go
+++ b/internal/tool/print.go
@@ -163,10 +163,10 @@
 		drains = append(drains, []any{d.Upstream, d.Service, d.Running})
 	}
 	for _, x := range s.Shifts {
-		shifts = append(shifts, []any{x.Shift, x.Service, x.From, x.To, x.Percent, x.Cap, x.Use})
+		shifts = append(shifts, []any{x.Shift, x.Service, x.From, x.To, x.Percent, x.Cap})
 	}
 	for _, o := range s.Organisations {
-		organisations = append(organisations, []any{o.Organisation, o.Rate, o.Use, o.Refused})
+		organisations = append(organisations, []any{o.Organisation, o.Rate, o.Refused})
 	}
 	for _, section := range []struct {
 		headings string
@@ -175,8 +175,8 @@
 		{"FLEET\tREGION\tDATA CENTRE\tSTATUS\tEPOCH", instances},
 		{"REGION\tSERVICE\tSLOTS\tRUNNING\tHEADROOM\tMEASURED", regions},
 		{"DRAINED UPSTREAM\tSERVICE\tRUNNING", drains},
-		{"SHIFT\tSERVICE\tFROM\tTO\tPERCENT\tCAP\tUSE", shifts},
-		{"ORGANISATION NEAR ITS LIMIT\tRATE\tUSE\tREFUSED", organisations},
+		{"SHIFT\tSERVICE\tFROM\tTO\tPERCENT\tCAP", shifts},
+		{"ORGANISATION ABOVE ITS RATE\tRATE\tREFUSED", organisations},
 	} {
 		if err := t.print("\n"); err != nil {
 			return err
--- a/internal/tool/tool_test.go
+++ b/internal/tool/tool_test.go
@@ -214,6 +214,8 @@
 		{[]string{"status", "--json"}, 0, `"status": "suspect"`},
 		{[]string{"dump"}, 0, `"state": 1`},
 		{[]string{"lookup", "pregled", "10.0.0.1"}, 0, `"10.0.0.1"`},
+		{[]string{"lookup", "pregld", "10.0.0.1"}, 1, `absent (not run): operator: service "pregld" does not exist`},
+		{[]string{"status", "--operator", "instance:8003"}, 2, "--operator instance:8003 is not an IP number and a port"},
 		{[]string{"lookup", "pregled", "host"}, 1, "address: is \"host\", allowed is an IP number"},
 		{[]string{"stop"}, 0, "stops after its requests have ended"},
 		{[]string{"stop", "--operator", "127.0.0.1:1"}, 2, "exactly one --operator"},
