Apply the settings' limits, count decisions and close gaps in planned stops

A walk through the real programs showed: the limits for bodies, heads and queues in the settings were checked but not applied; a planned stop cut requests longer than 36 s; the fault hook for tests took commands without the operators' token; refusals, store calls and freshness had no metrics; and a planned stop during a store outage made the remaining instances refuse every key, because they waited for the word of the stopped one. A farewell now ends that wait, the stop lets requests run to their own deadlines, and the limits and metrics are in place.

--- a/config.go
+++ b/config.go
@@ -33,6 +33,12 @@
 	Registry metrics.Registry
 	// MaxBody limits the body of a streamed request; zero means 1 GiB.
 	MaxBody id.Bytes
+	// MaxClaimedBody limits the body of a request that may not be repeated, which is read whole; zero means 1 MiB.
+	MaxClaimedBody id.Bytes
+	// MaxHeader limits the head of a request; zero means 64 KiB.
+	MaxHeader id.Bytes
+	// QueueLength is the most requests of one class that wait for a service; zero means 1024.
+	QueueLength int
 	// CallerTLS and OperatorTLS switch on TLS for callers and operators.
 	CallerTLS   *tls.Config
 	OperatorTLS *tls.Config
@@ -44,6 +50,9 @@
 	Incarnation id.Incarnation
 }
 
+// defaultMaxHeader is the limit of a request's head.
+const defaultMaxHeader id.Bytes = 64 << 10
+
 // ConfigError reports required fields of a Config that are empty.
 type ConfigError struct {
 	Fields []string
--- a/cut.go
+++ b/cut.go
@@ -1,8 +1,10 @@
 package bluebellhold
 
 import (
+	"crypto/subtle"
 	"encoding/json"
 	"net/http"
+	"strings"
 	"sync"
 
 	"bluebellhold/id"
@@ -39,6 +41,11 @@
 			api.ServeHTTP(w, r)
 			return
 		}
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(token), i.config.Token) != 1 {
+			http.Error(w, "the operators' token is missing or wrong", http.StatusUnauthorized)
+			return
+		}
 		var faults struct {
 			Cut []id.Instance `json:"cut"`
 		}
--- a/execute.go
+++ b/execute.go
@@ -14,6 +14,7 @@
 
 // carryOut starts what an effect asks for; it runs with the mutex held, so it never blocks.
 func (i *Instance) carryOut(effect steering.Effect) {
+	i.countEffect(effect)
 	switch e := effect.(type) {
 	case steering.RequestEffect:
 		if watcher := i.watchers[e.RequestID()]; watcher != nil {
--- a/instance.go
+++ b/instance.go
@@ -22,13 +22,15 @@
 )
 
 const (
-	tickEvery          = 20 * time.Millisecond
-	platformTimeout    = 2 * time.Second
-	probeTimeout       = time.Second
-	headerTimeout      = 10 * time.Second
-	callerIdleTimeout  = 2 * time.Minute
-	shutdownTimeout    = 30 * time.Second
-	maxHeader          = 32 << 10
+	tickEvery         = 20 * time.Millisecond
+	gaugeEvery        = time.Second
+	platformTimeout   = 2 * time.Second
+	probeTimeout      = time.Second
+	headerTimeout     = 10 * time.Second
+	callerIdleTimeout = 2 * time.Minute
+	shutdownTimeout   = 30 * time.Second
+	// longestRequest is above the longest deadline that a caller can set, so a planned stop cuts no request.
+	longestRequest     = 11 * time.Minute
 	reportsKept        = 1024
 	peerMessagesLogged = "peer"
 )
@@ -36,6 +38,7 @@
 // Instance is one entry instance. It is safe for concurrent use.
 type Instance struct {
 	config   Config
+	gauges   gauges
 	log      *log.Logger
 	registry metrics.Registry
 
@@ -70,6 +73,9 @@
 	if c.Registry == nil {
 		c.Registry = metrics.NewRegistry()
 	}
+	if c.MaxHeader == 0 {
+		c.MaxHeader = defaultMaxHeader
+	}
 	if c.Incarnation == 0 {
 		c.Incarnation = id.Incarnation(time.Now().UnixNano())
 	}
@@ -79,11 +85,12 @@
 		log:      c.Log,
 		registry: c.Registry,
 		state: steering.New(steering.Config{
-			Self: c.Self, Incarnation: c.Incarnation, Seed: uint64(c.Incarnation),
+			Self: c.Self, Incarnation: c.Incarnation, Seed: uint64(c.Incarnation), QueueLength: c.QueueLength,
 		}),
 		watchers: make(map[id.Request]chan<- steering.RequestEffect),
 		replies:  make(map[steering.Ticket]chan<- steering.Reply),
 		probes:   &http.Client{Timeout: probeTimeout},
+		gauges:   newGauges(c.Registry),
 		reports:  make(chan steering.Report, reportsKept),
 		stopped:  make(chan struct{}),
 		ctx:      ctx,
@@ -91,6 +98,7 @@
 	}
 	i.gateway = gateway.New(gateway.Config{
 		Engine: i, Log: c.Log.WithPrefix("gateway"), Registry: c.Registry, MaxBody: c.MaxBody,
+		MaxClaimedBody: c.MaxClaimedBody,
 	})
 	if err := i.listen(); err != nil {
 		i.close()
@@ -102,14 +110,14 @@
 // listen binds the addresses of callers, operators and peers.
 func (i *Instance) listen() error {
 	var err error
-	i.callers, err = newServer(i.config.Self.Caller, i.gateway, i.config.CallerTLS)
+	i.callers, err = newServer(i.config.Self.Caller, i.gateway, i.config.CallerTLS, i.config.MaxHeader)
 	if err != nil {
 		return err
 	}
 	api := operator.New(operator.Config{
 		Backend: backend{i}, Token: settings.NewSecret(i.config.Token), Registry: i.registry, Log: i.log.WithPrefix("operator"),
 	})
-	i.operator, err = newServer(i.config.Operator, i.withFaultHooks(api), i.config.OperatorTLS)
+	i.operator, err = newServer(i.config.Operator, i.withFaultHooks(api), i.config.OperatorTLS, i.config.MaxHeader)
 	if err != nil {
 		return err
 	}
@@ -137,10 +145,14 @@
 		"operator", i.config.Operator, "peer", i.config.Self.Peer)
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
+	gaugeTicker := time.NewTicker(gaugeEvery)
+	defer gaugeTicker.Stop()
 	for {
 		select {
 		case <-ticker.C:
 			i.Post(steering.Tick{})
+		case <-gaugeTicker.C:
+			i.updateGauges()
 		case <-i.stopped:
 			i.log.Info("instance: stopped")
 			return nil
@@ -163,7 +175,7 @@
 
 // closeCallers stops taking callers' connections and lets running requests finish.
 func (i *Instance) closeCallers() {
-	ctx, cancel := context.WithTimeout(i.ctx, shutdownTimeout)
+	ctx, cancel := context.WithTimeout(i.ctx, longestRequest)
 	defer cancel()
 	i.callers.stop(ctx)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -125,6 +125,10 @@
 		Directory:  client,
 		Log:        log.NewWithOptions(w, log.Options{Level: level, ReportTimestamp: true, TimeFormat: time.RFC3339Nano}),
 		FaultHooks: s.Testing,
+
+		MaxClaimedBody: s.Limits.Body,
+		MaxHeader:      s.Limits.Header,
+		QueueLength:    s.Limits.Queue,
 	}
 	return config, addCertificates(&config, s.TLS)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,8 @@
 	Registry metrics.Registry
 	// MaxBody limits the body of a request that is streamed. The default is DefaultMaxStreamed.
 	MaxBody id.Bytes
+	// MaxClaimedBody limits the body of a request that may not be repeated. The default is DefaultMaxClaimedBody.
+	MaxClaimedBody id.Bytes
 	// StallTimeout is how long a caller may send nothing of its body or take nothing of its answer. The default is
 	// DefaultStallTimeout.
 	StallTimeout time.Duration
@@ -57,15 +59,16 @@
 
 // Gateway serves callers over HTTP and is safe for concurrent use.
 type Gateway struct {
-	engine    Engine
-	log       *log.Logger
-	registry  metrics.Registry
-	maxBody   id.Bytes
-	router    *mux.Router
-	transport *http.Transport
-	requests  atomic.Uint64
-	leaving   atomic.Bool
-	latency   latencies
+	engine     Engine
+	log        *log.Logger
+	registry   metrics.Registry
+	maxBody    id.Bytes
+	maxClaimed id.Bytes
+	router     *mux.Router
+	transport  *http.Transport
+	requests   atomic.Uint64
+	leaving    atomic.Bool
+	latency    latencies
 
 	stallTimeout time.Duration
 }
@@ -75,6 +78,9 @@
 	if c.MaxBody == 0 {
 		c.MaxBody = DefaultMaxStreamed
 	}
+	if c.MaxClaimedBody == 0 {
+		c.MaxClaimedBody = DefaultMaxClaimedBody
+	}
 	if c.Log == nil {
 		c.Log = log.New(io.Discard)
 	}
@@ -85,12 +91,13 @@
 		c.Registry = metrics.NewRegistry()
 	}
 	g := &Gateway{
-		engine:    c.Engine,
-		log:       c.Log,
-		registry:  c.Registry,
-		maxBody:   c.MaxBody,
-		transport: newTransport(),
-		latency:   latencies{registry: c.Registry},
+		engine:     c.Engine,
+		log:        c.Log,
+		registry:   c.Registry,
+		maxBody:    c.MaxBody,
+		maxClaimed: min(c.MaxClaimedBody, c.MaxBody),
+		transport:  newTransport(),
+		latency:    latencies{registry: c.Registry},
 
 		stallTimeout: c.StallTimeout,
 	}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -26,7 +26,6 @@
 	steering.CodeStore:       "the claim for the request cannot be written",
 	steering.CodeUpstream:    "the upstream failed",
 	steering.CodeBody:        "the request's body or head is broken or too large",
-	steering.CodeStopping:    "this instance is stopping",
 }
 
 // writeRefusal answers with the refusal's status and a short JSON body.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -246,7 +246,7 @@
 }
 
 func (x *exchange) readClaimedBody() {
-	if !x.readBody(min(DefaultMaxClaimedBody, x.gateway.maxBody)) || !x.buffered {
+	if !x.readBody(x.gateway.maxClaimed) || !x.buffered {
 		x.gateway.engine.Post(steering.BodyFailed{Request: x.request})
 		return
 	}
--- a/internal/steering/faults_test.go
+++ b/internal/steering/faults_test.go
@@ -124,6 +124,22 @@
 	}
 }
 
+// Guards against a planned stop during a store outage after which the others wait for the word of the stopped instance
+// and refuse every key. Holders whose witness it was lose their shares until the store is back, so only the freshness
+// is checked.
+func TestPlannedStopInStoreOutageKeepsOthersFresh(t *testing.T) {
+	s := newSim(t, 32, 7)
+	s.startZadruga()
+	s.storeDown = func(*node) bool { return true }
+	s.run(10 * time.Second)
+	s.nodes[5].post(steering.StopRequested{})
+	s.run(time.Minute)
+	require.True(t, s.nodes[5].stop)
+	for _, n := range s.nodes[:5] {
+		require.True(t, s.now.Before(n.state.FreshUntil()), n.self.Instance)
+	}
+}
+
 // Guards against a store outage in which a claimed request is sent without its claim.
 func TestStoreOutageRefusesDrawsTruthfully(t *testing.T) {
 	s := newSim(t, 23, 7)
--- a/internal/steering/freshness.go
+++ b/internal/steering/freshness.go
@@ -64,6 +64,9 @@
 			continue
 		}
 		p := s.peers[m.Instance]
+		if p != nil && p.hasStopped {
+			continue
+		}
 		if p == nil || p.confirmedAt.IsZero() {
 			return
 		}
--- a/internal/steering/peers.go
+++ b/internal/steering/peers.go
@@ -22,6 +22,8 @@
 	sent [heartbeatsKept]time.Time
 	// confirmedAt is when the peer last said that it could not read the head and knows no newer epoch.
 	confirmedAt time.Time
+	// hasStopped is set by the farewell of a planned stop; a stopped instance accepts no release note.
+	hasStopped bool
 }
 
 func (s *State) peer(name id.Instance) *peer {
@@ -125,6 +127,7 @@
 	case *wire.Envelope_EpochReply:
 		s.epochReceived(m.EpochReply)
 	case *wire.Envelope_Farewell:
+		s.peer(e.From).hasStopped = true
 		s.viewChanged(s.view.Reduce(s.now, fleet.SaidFarewell{Instance: e.From}))
 	default:
 		s.ledgerMessage(e)
@@ -153,6 +156,7 @@
 func (s *State) heartbeat(from id.Instance, m *wire.Heartbeat) {
 	s.heard(from, m.GetIncarnation(), m.GetLeaving())
 	s.peer(from).epoch = id.Epoch(m.GetEpoch())
+	s.peer(from).hasStopped = false
 	s.emit(Send{To: from, Message: &wire.Envelope{Payload: &wire.Envelope_HeartbeatReply{
 		HeartbeatReply: &wire.HeartbeatReply{
 			Sequence:    m.GetSequence(),
--- a/internal/steering/refusal.go
+++ b/internal/steering/refusal.go
@@ -26,7 +26,6 @@
 	CodeStore       Code = "store"
 	CodeUpstream    Code = "upstream"
 	CodeBody        Code = "body"
-	CodeStopping    Code = "stopping"
 )
 
 // Outcome tells whether a refused request ran.
--- a/internal/steering/service.go
+++ b/internal/steering/service.go
@@ -92,7 +92,7 @@
 func (s *State) newService(name id.Service) *service {
 	return &service{
 		id:      name,
-		queue:   queue.New(queue.Config{}),
+		queue:   queue.New(queue.Config{Length: s.queueLength}),
 		chooser: balance.New(balance.Config{Seed: s.random.Uint64()}),
 		budget:  retry.NewBudget(retry.BudgetConfig{}),
 	}
--- a/internal/steering/state.go
+++ b/internal/steering/state.go
@@ -27,6 +27,8 @@
 	Self        platform.Member
 	Incarnation id.Incarnation
 	Seed        uint64
+	// QueueLength is the most requests of one class that wait for a service; zero means the queue's default.
+	QueueLength int
 }
 
 // State is everything that one instance knows and decides with.
@@ -35,6 +37,7 @@
 type State struct {
 	self        platform.Member
 	incarnation id.Incarnation
+	queueLength int
 	random      *rand.Rand
 	now         time.Time
 
@@ -72,6 +75,7 @@
 	s := &State{
 		self:        c.Self,
 		incarnation: c.Incarnation,
+		queueLength: c.QueueLength,
 		random:      rand.New(rand.NewPCG(c.Seed, uint64(c.Incarnation))),
 		ledger: allotment.New(allotment.Config{
 			Self:        ledgerMember(c.Self, true),
--- a/internal/steering/status.go
+++ b/internal/steering/status.go
@@ -90,3 +90,27 @@
 	sort.Slice(out, func(i, j int) bool { return out[i].Organisation < out[j].Organisation })
 	return out
 }
+
+// Vitals are the figures of an instance that change all the time.
+type Vitals struct {
+	Epoch     id.Epoch
+	Fresh     bool
+	StoreDown bool
+	Members   int
+	Requests  int
+	Unsettled int
+	Suspects  int
+}
+
+// Vitals returns the figures at the time now.
+func (s *State) Vitals(now time.Time) Vitals {
+	return Vitals{
+		Epoch:     s.epochs.current.Epoch,
+		Fresh:     s.fresh.isFresh(now),
+		StoreDown: s.fresh.couldNotRead(now),
+		Members:   s.candidates.Len(),
+		Requests:  len(s.requests),
+		Unsettled: s.stopping.unsettled,
+		Suspects:  s.suspects.Len(),
+	}
+}
--- a/server.go
+++ b/server.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"bluebellhold/id"
 )
 
 // server is an HTTP server with its listener.
@@ -15,7 +17,7 @@
 	http     *http.Server
 }
 
-func newServer(address string, handler http.Handler, secure *tls.Config) (*server, error) {
+func newServer(address string, handler http.Handler, secure *tls.Config, maxHeader id.Bytes) (*server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, &ListenError{Address: address, Cause: err}
@@ -24,7 +26,7 @@
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       callerIdleTimeout,
-		MaxHeaderBytes:    maxHeader,
+		MaxHeaderBytes:    int(maxHeader),
 	}}
 	if secure != nil {
 		s.listener = tls.NewListener(listener, secure)
