Tell a stopped process by its incarnation

A heartbeat that was overtaken by the farewell cancelled it, so the remaining instances waited for a stopped one again. Only a newer process under the same name ends a farewell now.

--- a/internal/steering/freshness.go
+++ b/internal/steering/freshness.go
@@ -64,7 +64,7 @@
 			continue
 		}
 		p := s.peers[m.Instance]
-		if p != nil && p.hasStopped {
+		if p != nil && p.hasStopped() {
 			continue
 		}
 		if p == nil || p.confirmedAt.IsZero() {
--- a/internal/steering/peers.go
+++ b/internal/steering/peers.go
@@ -22,10 +22,14 @@
 	sent [heartbeatsKept]time.Time
 	// confirmedAt is when the peer last said that it could not read the head and knows no newer epoch.
 	confirmedAt time.Time
-	// hasStopped is set by the farewell of a planned stop; a stopped instance accepts no release note.
-	hasStopped bool
+	incarnation id.Incarnation
+	// stopped is the incarnation that said farewell; a stopped process accepts no release note.
+	stopped id.Incarnation
 }
 
+// hasStopped reports whether the last process that was heard under the peer's name has stopped.
+func (p *peer) hasStopped() bool { return p.stopped != 0 && p.stopped == p.incarnation }
+
 func (s *State) peer(name id.Instance) *peer {
 	p := s.peers[name]
 	if p == nil {
@@ -127,7 +131,7 @@
 	case *wire.Envelope_EpochReply:
 		s.epochReceived(m.EpochReply)
 	case *wire.Envelope_Farewell:
-		s.peer(e.From).hasStopped = true
+		s.peer(e.From).stopped = s.peer(e.From).incarnation
 		s.viewChanged(s.view.Reduce(s.now, fleet.SaidFarewell{Instance: e.From}))
 	default:
 		s.ledgerMessage(e)
@@ -156,7 +160,7 @@
 func (s *State) heartbeat(from id.Instance, m *wire.Heartbeat) {
 	s.heard(from, m.GetIncarnation(), m.GetLeaving())
 	s.peer(from).epoch = id.Epoch(m.GetEpoch())
-	s.peer(from).hasStopped = false
+	s.peer(from).incarnation = id.Incarnation(m.GetIncarnation())
 	s.emit(Send{To: from, Message: &wire.Envelope{Payload: &wire.Envelope_HeartbeatReply{
 		HeartbeatReply: &wire.HeartbeatReply{
 			Sequence:    m.GetSequence(),
