Leave the read deadline alone after an attempt has ended

Cause: the transport can read a streamed body once more after its attempt has ended. That read set the stall timeout of one minute before it noticed the end, and so replaced the 500 ms that the server has to close the body: the caller got its answer a minute late.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -39,6 +39,10 @@
 	if b.isEnded {
 		return 0, io.EOF
 	}
+	if b.stopped.Load() {
+		// The transport may read again after the attempt; the deadline then belongs to the server.
+		return 0, &StoppedError{}
+	}
 	b.touched.Store(true)
 	if len(b.start) > 0 {
 		n := copy(p, b.start)
