--- a/instance.go
+++ b/instance.go
@@ -141,7 +141,7 @@
 	i.work.Go(i.logReports)
 	i.callers.start(&i.work)
 	i.operator.start(&i.work)
-	i.log.Info("instance: ready", "instance", i.config.Self.Instance, "caller", i.config.Self.Caller,
+	i.log.Info("instance: ready", "instance", i.config.Self.Instance, "callers", i.config.Self.Caller,
 		"operator", i.config.Operator, "peer", i.config.Self.Peer)
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"bluebellhold/id"
+	"bluebellhold/internal/settings"
 	"bluebellhold/platform"
 )
 
@@ -53,24 +54,10 @@
 	}
 }
 
-// Instance is the settings of one instance; Secret and Token are paths of files.
-type Instance struct {
-	Name       id.Instance   `json:"name"`
-	Region     id.Region     `json:"region"`
-	DataCentre id.DataCentre `json:"datacentre"`
-	Caller     string        `json:"caller"`
-	Peer       string        `json:"peer"`
-	Operator   string        `json:"operator"`
-	Platform   string        `json:"platform"`
-	Secret     string        `json:"secret"`
-	Token      string        `json:"token"`
-	Testing    bool          `json:"testing"`
-}
-
 // Fleet is the settings of a stand-in and of the instances that use it, with free ports of 127.0.0.1.
 type Fleet struct {
 	Standin   Config
-	Instances []Instance
+	Instances []settings.Settings
 }
 
 // Fleet picks ports and writes the settings into the directory: standin.json, a file for each instance under its name
@@ -85,7 +72,7 @@
 	}}
 	for r, region := range f.Regions {
 		for n := range f.instances(r) {
-			fleet.add(Instance{
+			fleet.add(settings.Settings{
 				Name: id.Instance(fmt.Sprintf("%s-%d", region, n+1)), Region: region, DataCentre: dataCentre(region, n),
 				Caller: ports.next(), Peer: ports.next(), Operator: ports.next(),
 				Platform: "http://" + fleet.Standin.Platform,
@@ -128,7 +115,7 @@
 	return id.DataCentre(string(region) + []string{"-a", "-b"}[n%2])
 }
 
-func (f *Fleet) add(i Instance) {
+func (f *Fleet) add(i settings.Settings) {
 	f.Instances = append(f.Instances, i)
 	f.Standin.Members.List = append(f.Standin.Members.List, platform.Member{
 		Instance: i.Name, Region: i.Region, DataCentre: i.DataCentre, Caller: i.Caller, Peer: i.Peer,
--- a/note/plan.go
+++ b/note/plan.go
@@ -109,7 +109,7 @@
 		running, known := p.running(r.service)
 		needed := max(running, 1)
 		if left < needed {
-			p.Report(r.path, "leaves "+slots(left)+" of "+string(r.service),
+			p.Report(r.path, "a change that leaves "+slots(left)+" of "+string(r.service),
 				"at least "+slots(needed)+" (measured: "+strconv.Itoa(int(running))+" requests running)")
 			continue
 		}
