Judge notes by the requests that all instances run

The load that a drain or a shift was judged by came from the probes of one instance for its own region, and was known for 2 s in 30, so plans nearly always said that it was not measured. All traffic passes through the instances, so each now tells the others with each heartbeat what it runs, and the sum is the measured load. TestDrainBelowMeasuredLoadIsRefused covers it.

A load endpoint that fails no longer takes its upstream out of the choice: a stop of the measurements would otherwise have looked like dying upstreams.

--- a/backend.go
+++ b/backend.go
@@ -148,8 +148,8 @@
 	}
 	for _, load := range b.state.RegionLoads(now) {
 		status.Regions = append(status.Regions, operator.Region{
-			Region: load.Region, Service: load.Service, Slots: load.Slots, Running: id.Slots(load.Running),
-			Headroom: id.Slots(load.Spare), Known: load.Known,
+			Region: load.Region, Service: load.Service, Slots: load.Slots, Running: load.Running,
+			Headroom: load.Spare, Known: load.Known,
 		})
 	}
 	b.addIntentions(&status, config)
--- a/internal/steering/dispatch.go
+++ b/internal/steering/dispatch.go
@@ -211,6 +211,7 @@
 		svc.budget.First(s.now)
 	}
 	svc.chooser.Started(s.now, upstream)
+	svc.running[region.region]++
 	s.emit(Dispatch{
 		Request:      r.id,
 		Organisation: r.organisation.id,
--- a/internal/steering/ending.go
+++ b/internal/steering/ending.go
@@ -17,6 +17,7 @@
 	svc := r.service
 	took := s.now.Sub(r.startedAt)
 	s.ledger.Return(s.now, r.place.slots, 1)
+	svc.running[r.place.region]--
 	if !r.isUnqueued {
 		svc.queue.Done(s.now, r.route.Class, r.organisation.id, took)
 	}
--- a/internal/steering/faults_test.go
+++ b/internal/steering/faults_test.go
@@ -245,6 +245,32 @@
 	require.Empty(t, s.refusals)
 }
 
+// Guards against a drain that leaves less capacity than the load that all instances together have measured.
+func TestDrainBelowMeasuredLoadIsRefused(t *testing.T) {
+	s := newSim(t, 33, 7)
+	s.startZadruga()
+	// 100 requests a second of 400 ms keep 40 of the 84 slots busy.
+	until := s.now.Add(20 * time.Second)
+	s.load(100, until, func() *call {
+		return s.newCall("podjetje", "pregled", 400*time.Millisecond, note.Small)
+	}, func() *node { return s.nodes[s.random.IntN(7)] })
+	s.run(10 * time.Second)
+	drains := func(n int) note.Entries {
+		all := map[id.Upstream]note.Drain{}
+		for i := range n {
+			all[id.Upstream(fmt.Sprintf("pregled-%d", i))] = note.Drain{Service: "pregled"}
+		}
+		return note.Entries{Drains: all}
+	}
+	refused := s.apply(s.nodes[4], note.Note{ID: "many", Add: drains(12)})
+	accepted := s.apply(s.nodes[4], note.Note{ID: "few", Add: drains(3)})
+	s.run(5 * time.Second)
+	var infeasible *note.InfeasibleError
+	require.ErrorAs(t, refused.Err, &infeasible)
+	require.NoError(t, accepted.Err)
+	require.Equal(t, id.Epoch(2), accepted.Epoch)
+}
+
 // Guards against a planned stop that cuts or refuses a request, or that leaves shares behind.
 func TestPlannedStopCutsNoRequest(t *testing.T) {
 	s := newSim(t, 27, 7)
--- /dev/null
+++ b/internal/steering/load.go
@@ -0,0 +1,99 @@
+package steering
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"bluebellhold/id"
+	"bluebellhold/internal/wire"
+	"bluebellhold/note"
+)
+
+// loadsCount is how long what a peer said about its load counts; heartbeats come every 500 ms.
+const loadsCount = 3 * time.Second
+
+// place is one service in one region.
+type place struct {
+	service id.Service
+	region  id.Region
+}
+
+// RegionLoad is the capacity of one service in one region and the requests that all instances run there.
+//
+// Known is false if a live instance has not told its part lately; Running is then only a lower bound.
+type RegionLoad struct {
+	Region  id.Region
+	Service id.Service
+	Slots   id.Slots
+	Running id.Slots
+	Spare   id.Slots
+	Known   bool
+}
+
+// RegionLoads returns the load of each service in each region.
+func (s *State) RegionLoads(now time.Time) []RegionLoad {
+	var loads []RegionLoad
+	for _, name := range s.names {
+		slots := s.epochs.current.Slots(name)
+		for _, region := range s.services[name].regions {
+			running, known := s.fleetLoad(now, place{name, region.region})
+			loads = append(loads, RegionLoad{
+				Region: region.region, Service: name, Slots: slots[region.region], Running: running,
+				Spare: max(0, slots[region.region]-running), Known: known,
+			})
+		}
+	}
+	return loads
+}
+
+// fleetLoad adds up what all instances run at a place.
+func (s *State) fleetLoad(now time.Time, at place) (running id.Slots, known bool) {
+	known = true
+	running = id.Slots(s.services[at.service].running[at.region])
+	for _, name := range s.livePeers() {
+		p := s.peers[name]
+		if p == nil || now.Sub(p.loadsAt) >= loadsCount {
+			known = false
+			continue
+		}
+		running += id.Slots(p.loads[at])
+	}
+	return running, known
+}
+
+// measured returns the load that a release note is judged against.
+func (s *State) measured() note.Measured {
+	measured := note.Measured{Load: make(map[id.Service]map[id.Region]note.Load)}
+	for _, load := range s.RegionLoads(s.now) {
+		if measured.Load[load.Service] == nil {
+			measured.Load[load.Service] = make(map[id.Region]note.Load)
+		}
+		measured.Load[load.Service][load.Region] = note.Load{Running: load.Running, Known: load.Known}
+	}
+	return measured
+}
+
+// loadsToTell returns what this instance runs, without the places where it runs nothing.
+func (s *State) loadsToTell() []*wire.Load {
+	var told []*wire.Load
+	for _, name := range s.names {
+		for region, n := range s.services[name].running {
+			if n > 0 {
+				told = append(told, &wire.Load{Service: string(name), Region: string(region), Running: uint32(n)})
+			}
+		}
+	}
+	slices.SortFunc(told, func(a, b *wire.Load) int {
+		return strings.Compare(a.GetService()+"/"+a.GetRegion(), b.GetService()+"/"+b.GetRegion())
+	})
+	return told
+}
+
+func (p *peer) learnLoads(now time.Time, loads []*wire.Load) {
+	p.loadsAt = now
+	p.loads = make(map[place]int, len(loads))
+	for _, m := range loads {
+		p.loads[place{id.Service(m.GetService()), id.Region(m.GetRegion())}] = int(m.GetRunning())
+	}
+}
--- a/internal/steering/peers.go
+++ b/internal/steering/peers.go
@@ -20,6 +20,9 @@
 	sequence uint64
 	// sent holds the send times of the last heartbeats, by sequence number modulo its length.
 	sent [heartbeatsKept]time.Time
+	// loads are the requests that the peer runs, as of loadsAt.
+	loads   map[place]int
+	loadsAt time.Time
 	// confirmedAt is when the peer last said that it could not read the head and knows no newer epoch.
 	confirmedAt time.Time
 	incarnation id.Incarnation
@@ -170,6 +173,7 @@
 			Age:         int64(s.evidenceAge()),
 			Storedown:   s.fresh.couldNotRead(s.now) && !s.proposals.isWriting(),
 			Suspects:    s.suspectsToTell(),
+			Loads:       s.loadsToTell(),
 		},
 	}}})
 	s.compareEpoch(from, id.Epoch(m.GetEpoch()))
@@ -182,6 +186,7 @@
 	p.epoch = epoch
 	s.compareEpoch(from, epoch)
 	s.learnSuspects(m.GetSuspects())
+	p.learnLoads(s.now, m.GetLoads())
 	if m.GetSequence() > p.sequence || p.sequence-m.GetSequence() >= heartbeatsKept {
 		return
 	}
--- a/internal/steering/service.go
+++ b/internal/steering/service.go
@@ -27,6 +27,8 @@
 	// regions lists the regions that have upstreams, the instance's own first.
 	regions []regionLimit
 	shifts  []shift
+	// running counts this instance's requests by region; the fleet's load is the sum over all instances.
+	running map[id.Region]int
 	// held are requests that can use some upstreams only and wait for one of these.
 	held []*request
 	// reports counts the load reports since the start, for the state dump.
@@ -95,6 +97,7 @@
 		queue:   queue.New(queue.Config{Length: s.queueLength}),
 		chooser: balance.New(balance.Config{Seed: s.random.Uint64()}),
 		budget:  retry.NewBudget(retry.BudgetConfig{}),
+		running: make(map[id.Region]int),
 	}
 }
 
--- a/internal/steering/state.go
+++ b/internal/steering/state.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"bluebellhold/allotment"
-	"bluebellhold/balance"
 	"bluebellhold/claim"
 	"bluebellhold/fleet"
 	"bluebellhold/id"
@@ -225,11 +224,8 @@
 
 func (s *State) loadReported(e LoadReported) {
 	svc := s.services[e.Service]
-	if svc == nil {
-		return
-	}
-	if e.Failed {
-		svc.chooser.Probed(s.now, e.Upstream, balance.Died{})
+	if svc == nil || e.Failed {
+		// A load endpoint that fails says nothing about requests; those tell on their own whether the upstream lives.
 		return
 	}
 	svc.reported(s.now, e)
--- a/internal/steering/status.go
+++ b/internal/steering/status.go
@@ -8,44 +8,6 @@
 	"bluebellhold/note"
 )
 
-// RegionLoad is the capacity of one service in one region as this instance sees it.
-type RegionLoad struct {
-	Region  id.Region
-	Service id.Service
-	Slots   id.Slots
-	Running float64
-	Spare   float64
-	Known   bool
-}
-
-// measured returns the load that a release note is judged against.
-func (s *State) measured() note.Measured {
-	measured := note.Measured{Load: make(map[id.Service]map[id.Region]note.Load)}
-	for _, load := range s.RegionLoads(s.now) {
-		if measured.Load[load.Service] == nil {
-			measured.Load[load.Service] = make(map[id.Region]note.Load)
-		}
-		measured.Load[load.Service][load.Region] = note.Load{Running: id.Slots(load.Running), Known: load.Known}
-	}
-	return measured
-}
-
-// RegionLoads returns the capacity of each service in each region.
-func (s *State) RegionLoads(now time.Time) []RegionLoad {
-	var loads []RegionLoad
-	for _, name := range s.names {
-		svc := s.services[name]
-		for _, region := range svc.regions {
-			h := svc.chooser.Headroom(now, region.region)
-			loads = append(loads, RegionLoad{
-				Region: region.region, Service: name, Slots: h.Slots, Running: h.Running, Spare: h.Spare,
-				Known: h.Stale == 0,
-			})
-		}
-	}
-	return loads
-}
-
 // Plan lists what a release note would change.
 func (s *State) Plan(now time.Time, n note.Note) (note.Changes, error) {
 	s.now = now
