--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -86,6 +87,8 @@
 	if err != nil {
 		return &RunError{Cause: err}
 	}
+	// net/http prints bytes that an upstream sends unasked, which may belong to an organisation's answer.
+	stdlog.SetOutput(io.Discard)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go stopOnSignal(cancel, instance, config.Log)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -180,7 +180,7 @@
 	case a.bodyFailed || isCallersFault(err) || a.isCallerGone():
 		return steering.Cancelled{}
 	case !a.guard.sent.Load():
-		return steering.NotSent{}
+		return steering.NotSent{IsLate: errors.As(err, new(*LateError))}
 	case isTimeout(a.ctx, err):
 		return steering.TimedOut{Forwarded: forwarded}
 	default:
--- a/internal/steering/ending.go
+++ b/internal/steering/ending.go
@@ -28,12 +28,17 @@
 }
 
 func balanceOutcome(e Ending) balance.Outcome {
-	switch e.(type) {
+	switch e := e.(type) {
 	case Answered:
 		return balance.Succeeded{}
 	case Shed:
 		return balance.Shed{}
-	case NotSent, Broken:
+	case NotSent:
+		if e.IsLate {
+			return balance.Cancelled{}
+		}
+		return balance.Died{}
+	case Broken:
 		return balance.Died{}
 	case TimedOut:
 		return balance.Failed{}
--- a/internal/steering/event.go
+++ b/internal/steering/event.go
@@ -181,7 +181,11 @@
 type Shed struct{}
 
 // NotSent is a failure before the first byte was sent.
-type NotSent struct{}
+//
+// IsLate is set if the authority to dispatch had ended, which says nothing about the upstream.
+type NotSent struct {
+	IsLate bool
+}
 
 // Broken is a connection that failed after bytes were sent.
 //
