Mend what a read-through of the request path found

A request that waited for a token or a claim while its service was withdrawn entered a queue that nobody served, and its caller waited for ever (TestWithdrawnServiceRefusesWaitingRequests). A traffic shift lost a token of its cap whenever its target had no free slot. A key that moved to another organisation unbalanced the queue's account. A slow link's burst was smaller than one metered chunk, so an answer over it never moved.

--- a/internal/steering/dispatch.go
+++ b/internal/steering/dispatch.go
@@ -12,8 +12,8 @@
 const (
 	// claimedRunLimit bounds an attempt that may run longer than its caller waits.
 	claimedRunLimit = time.Minute
-	// answerEstimate is the size that is asked of a link before the size of the answer is known.
-	answerEstimate id.Bytes = 4 << 10
+	// headEstimate is the size of a request's head on a link; its answer is metered on the way back.
+	headEstimate id.Bytes = 1 << 10
 )
 
 func (s *State) pumpAll() {
@@ -130,8 +130,11 @@
 
 // place dispatches a request to an upstream for which this instance holds a slot.
 func (s *State) place(r *request) bool {
-	if target, ok := s.shifted(r); ok && s.placeIn(r, target) {
-		return true
+	if target, limit, ok := s.shifted(r); ok {
+		if s.placeIn(r, target) {
+			return true
+		}
+		s.ledger.Return(s.now, limit, 1)
 	}
 	for i, region := range r.service.regions {
 		isLocal := i == 0 && region.region == s.self.Region
@@ -158,19 +161,19 @@
 	return svc.chooser.Headroom(s.now, region).Slots > 0
 }
 
-// shifted draws whether a traffic shift moves the request and takes a token of the shift's cap if it does.
-func (s *State) shifted(r *request) (regionLimit, bool) {
+// shifted draws whether a traffic shift moves the request, and returns the target and the limit that it took a token of.
+func (s *State) shifted(r *request) (regionLimit, id.Limit, bool) {
 	for _, shift := range r.service.shifts {
 		if s.random.IntN(100) >= shift.percent {
 			continue
 		}
 		for _, region := range r.service.regions {
 			if region.region == shift.to && s.take(shift.limit, 1) {
-				return region, true
+				return region, shift.limit, true
 			}
 		}
 	}
-	return regionLimit{}, false
+	return regionLimit{}, "", false
 }
 
 // placeIn takes a slot of the region, room on the link and an upstream, or gives back what it took.
@@ -194,7 +197,7 @@
 }
 
 func (s *State) takeLink(r *request, region regionLimit) bool {
-	if region.link != "" && !s.take(region.link, id.Tokens(r.size+answerEstimate)) {
+	if region.link != "" && !s.take(region.link, id.Tokens(r.size+headEstimate)) {
 		return false
 	}
 	return true
--- a/internal/steering/ending.go
+++ b/internal/steering/ending.go
@@ -19,7 +19,7 @@
 	s.ledger.Return(s.now, r.place.slots, 1)
 	svc.running[r.place.region]--
 	if !r.isUnqueued {
-		svc.queue.Done(s.now, r.route.Class, r.organisation.id, took)
+		svc.queue.Done(s.now, r.route.Class, r.queuedFor, took)
 	}
 	svc.chooser.Finished(s.now, r.upstream, balanceOutcome(e.Ending), took)
 	s.settleSuspect(r, e.Ending)
--- a/internal/steering/faults_test.go
+++ b/internal/steering/faults_test.go
@@ -271,6 +271,23 @@
 	require.Equal(t, id.Epoch(2), accepted.Epoch)
 }
 
+// Guards against callers that wait for ever because their service was withdrawn while they waited for a token.
+func TestWithdrawnServiceRefusesWaitingRequests(t *testing.T) {
+	s := newSim(t, 34, 7)
+	s.startZadruga()
+	reply := s.apply(s.nodes[0], note.Note{ID: "bye", Withdraw: note.Names{Services: []id.Service{"pregled"}}})
+	for reply.Epoch == 0 {
+		require.NoError(t, reply.Err)
+		for range 20 {
+			s.call(s.nodes[1], s.check("zbor"))
+		}
+		s.run(20 * time.Millisecond)
+	}
+	s.run(5 * time.Second)
+	require.Empty(t, s.requests)
+	require.NotZero(t, s.refusals[steering.CodeNoRoute])
+}
+
 // Guards against a planned stop that cuts or refuses a request, or that leaves shares behind.
 func TestPlannedStopCutsNoRequest(t *testing.T) {
 	s := newSim(t, 27, 7)
--- a/internal/steering/limits.go
+++ b/internal/steering/limits.go
@@ -11,8 +11,12 @@
 	"bluebellhold/platform"
 )
 
-// The link burst is a tenth of a second of the link's rate, so that a burst stays small beside the link's buffers.
-const linkBurstFraction = 0.1
+const (
+	// The link burst is a tenth of a second of the link's rate, so that a burst stays small beside the link's buffers.
+	linkBurstFraction = 0.1
+	// leastLinkBurst lets each home instance of a slow link hold the tokens for a chunk of 64 KiB.
+	leastLinkBurst id.Tokens = 1 << 20
+)
 
 func ledgerMember(m platform.Member, live bool) allotment.Member {
 	return allotment.Member{Instance: m.Instance, Region: m.Region, Address: m.Peer, Live: live}
@@ -30,7 +34,7 @@
 	}
 	for _, link := range config.Links {
 		rate := id.TokensPerSecond(link.Rate)
-		limits = append(limits, rateLimit(linkLimit(link.From, link.To), rate, id.Tokens(rate)*linkBurstFraction))
+		limits = append(limits, rateLimit(linkLimit(link.From, link.To), rate, max(id.Tokens(rate)*linkBurstFraction, leastLinkBurst)))
 	}
 	limits = append(limits, s.slotLimits()...)
 	sort.Slice(limits, func(i, j int) bool { return limits[i].ID < limits[j].ID })
--- a/internal/steering/request.go
+++ b/internal/steering/request.go
@@ -48,6 +48,8 @@
 	deadline     time.Time
 	waitUntil    time.Time
 	queuedAt     time.Time
+	// queuedFor is the organisation that the queue counts the request for.
+	queuedFor id.Organisation
 	// dispatchBy is the end of the claim's authority to dispatch; zero if the request needs no claim.
 	dispatchBy time.Time
 	attempts   int
@@ -225,7 +227,13 @@
 }
 
 func (s *State) enqueue(r *request) {
+	if s.services[r.service.id] != r.service {
+		// The service was withdrawn while the request waited for its token or its claim.
+		s.refuse(r, Refusal{Code: CodeNoRoute, Outcome: NotRun})
+		return
+	}
 	r.stage = stageQueued
+	r.queuedFor = r.organisation.id
 	r.isUnqueued = false
 	r.queuedAt = s.now
 	deadline := r.deadline
