--- a/internal/steering/limits_test.go
+++ b/internal/steering/limits_test.go
@@ -80,7 +80,7 @@
 	require.NotZero(t, s.refusals[steering.CodeRate])
 }
 
-// requireCapacity checks that no region ran more requests at once than it has slots.
+// requireCapacity checks that no region had more requests at once than it has slots, those on their way included.
 func (s *sim) requireCapacity() {
 	for name, g := range s.regions {
 		require.LessOrEqual(s.t, g.peak, g.slots, name)
--- a/internal/steering/sim_test.go
+++ b/internal/steering/sim_test.go
@@ -69,7 +69,8 @@
 	dead     bool
 }
 
-type gauge struct{ running, peak, slots int }
+// gauge counts the requests that instances have sent to a region and not seen the end of.
+type gauge struct{ sent, peak, slots int }
 
 // call is one request of a caller.
 type call struct {
@@ -318,20 +319,30 @@
 	target := s.servers[e.Upstream]
 	network := s.delay(n.self.Region, target.region)
 	require.False(s.t, s.now.After(e.DispatchBy), "dispatched after the authority ended")
+	region := s.regionOf(target)
+	region.sent++
+	region.peak = max(region.peak, region.sent)
 	s.after(network, func() {
 		switch {
 		case target.dead:
-			s.after(network, func() { n.post(steering.AttemptEnded{Request: e.Request, Ending: steering.NotSent{}}) })
+			s.after(network, func() { s.attemptEnded(n, target, e.Request, steering.NotSent{}) })
 			return
 		case target.running >= target.slots:
 			target.shed++
-			s.after(network, func() { n.post(steering.AttemptEnded{Request: e.Request, Ending: steering.Shed{}}) })
+			s.after(network, func() { s.attemptEnded(n, target, e.Request, steering.Shed{}) })
 			return
 		}
 		s.work(n, target, c, network)
 	})
 }
 
+func (s *sim) regionOf(u *server) *gauge { return s.regions[string(u.service)+"/"+string(u.region)] }
+
+func (s *sim) attemptEnded(n *node, u *server, request id.Request, ending steering.Ending) {
+	s.regionOf(u).sent--
+	n.post(steering.AttemptEnded{Request: request, Ending: ending})
+}
+
 func (s *sim) work(n *node, target *server, c *call, network time.Duration) {
 	c.runs++
 	if c.arrival.Idempotency != "" {
@@ -340,25 +351,21 @@
 	c.startedAt = s.now
 	c.server = target
 	s.onAdmitted(c)
-	region := s.regions[string(target.service)+"/"+string(target.region)]
 	target.running++
 	target.started++
 	target.lastWork = s.now
 	target.peak = max(target.peak, target.running)
-	region.running++
-	region.peak = max(region.peak, region.running)
 	if c.crash {
 		target.dead = true
 	}
 	s.after(c.took, func() {
 		target.running--
-		region.running--
 		var ending steering.Ending = steering.Answered{Answer: claim.Answer{Status: 200, Body: []byte(c.arrival.Path)}}
 		if target.dead || c.died {
 			ending = steering.Broken{}
 		}
 		s.after(network, func() {
-			n.post(steering.AttemptEnded{Request: c.request, Ending: ending})
+			s.attemptEnded(n, target, c.request, ending)
 			if _, ok := ending.(steering.Answered); ok && !n.frozen {
 				s.end(c.request, func(*call) {})
 			}
