Let a retry return to the only upstream after a short wait

A request that an upstream shed or that could not be sent avoids this upstream from then on. With one upstream it waited until its deadline although the upstream could take it again.

--- a/internal/steering/dispatch.go
+++ b/internal/steering/dispatch.go
@@ -78,6 +78,10 @@
 			s.refuse(r, *refusal)
 			return true
 		}
+		if !r.suspect && s.now.Sub(r.queuedAt) >= spillAfter {
+			// No other upstream has a free slot, so one that shed the request before may be tried again.
+			r.excluded = nil
+		}
 		return s.place(r)
 	})
 }
--- a/internal/steering/faults_test.go
+++ b/internal/steering/faults_test.go
@@ -288,6 +288,25 @@
 	require.NotZero(t, s.refusals[steering.CodeNoRoute])
 }
 
+// Guards against a retry that waits until its deadline because the service's only upstream failed it once.
+func TestRetryMayReturnToTheOnlyUpstream(t *testing.T) {
+	s := newSim(t, 35, 7)
+	s.startZadruga()
+	add := note.Entries{Services: map[id.Service]note.Service{}}
+	s.addService(add, "solo", 1, 4, note.Route{Path: "/", Repeat: true})
+	reply := s.apply(s.nodes[0], note.Note{ID: "solo", Add: add})
+	s.run(10 * time.Second)
+	require.NoError(t, reply.Err)
+	s.servers["solo-0"].dead = true
+	c := s.call(s.nodes[0], s.newCall("gimnazija", "solo", 10*time.Millisecond, note.Small))
+	s.run(50 * time.Millisecond)
+	s.servers["solo-0"].dead = false
+	s.run(time.Second)
+	require.Equal(t, 1, c.runs)
+	require.False(t, c.end.IsZero())
+	require.Nil(t, c.refusal)
+}
+
 // Guards against a planned stop that cuts or refuses a request, or that leaves shares behind.
 func TestPlannedStopCutsNoRequest(t *testing.T) {
 	s := newSim(t, 27, 7)
