Test that an inter-region link carries at most its rate

Answers over a link ask for its tokens chunk by chunk; nothing showed that the sum stays within the link's rate. A request that was not running was allowed any amount, which the gateway never asks for; it is ignored now.

--- a/internal/steering/limits.go
+++ b/internal/steering/limits.go
@@ -181,11 +181,11 @@
 // dataWanted lets a dispatched request move bytes over its link when the link has room, else on a later tick.
 func (s *State) dataWanted(e DataWanted) {
 	r := s.requests[e.Request]
-	if r == nil {
+	if r == nil || r.stage != stageRunning {
 		return
 	}
 	r.wanted = e.Size
-	if !s.allowData(r) {
+	if !slices.Contains(s.starved, r) && !s.allowData(r) {
 		s.starved = append(s.starved, r)
 	}
 }
--- a/internal/steering/limits_test.go
+++ b/internal/steering/limits_test.go
@@ -169,6 +169,48 @@
 	}
 }
 
+// Guards against answers that together exceed the rate of an inter-region link, and against a link that moves nothing.
+func TestLinkCarriesAtMostItsRate(t *testing.T) {
+	s := newSim(t, 7, 7)
+	s.startZadruga()
+	const rate = 2_000_000
+	// The upstreams of stajerska stay, so that all answers come over the link.
+	drains := map[id.Upstream]note.Drain{}
+	for name, u := range s.servers {
+		if u.service == "pregled" && u.region != "stajerska" {
+			drains[name] = note.Drain{Service: "pregled"}
+		}
+	}
+	reply := s.apply(s.nodes[0], note.Note{
+		ID: "slow", Add: note.Entries{Drains: drains},
+		Change: note.Entries{Links: map[string]note.Link{
+			"stajerska-osrednja": {From: "stajerska", To: "osrednja", Rate: rate},
+		}},
+	})
+	s.run(20 * time.Second)
+	require.NoError(t, reply.Err)
+	link := &bucket{rate: rate, burst: 1 << 20}
+	moved := 0.0
+	s.onData = func(n *node, e steering.DataAllowed) {
+		link.refill(s.now)
+		link.tokens -= float64(e.Size)
+		link.worst = min(link.worst, link.tokens)
+		moved += float64(e.Size)
+		s.after(time.Millisecond, func() { n.post(steering.DataWanted{Request: e.Request, Size: e.Size}) })
+	}
+	s.onAdmitted = func(c *call) { c.node.post(steering.DataWanted{Request: c.request, Size: 64 << 10}) }
+	for range 6 {
+		for _, n := range []*node{s.nodes[0], s.nodes[3], s.nodes[6]} {
+			c := s.newCall("podjetje", "pregled", 40*time.Second, note.Small)
+			c.arrival.Deadline = s.now.Add(time.Minute)
+			s.call(n, c)
+		}
+	}
+	s.run(20 * time.Second)
+	require.Greater(t, link.worst, -1.0)
+	require.Greater(t, moved, 0.5*rate*18)
+}
+
 // Guards against a traffic shift that moves more than its cap.
 func TestShiftStaysBelowItsCap(t *testing.T) {
 	s := newSim(t, 5, 7)
--- a/internal/steering/sim_test.go
+++ b/internal/steering/sim_test.go
@@ -39,6 +39,8 @@
 	finished  []*call
 	tickets   steering.Ticket
 	onArrival func(*call)
+	// onData is called when a request may move bytes over its link.
+	onData func(*node, steering.DataAllowed)
 	// onAdmitted is called when a request starts at an upstream.
 	onAdmitted func(*call)
 	replies    map[steering.Ticket]*steering.Reply
@@ -209,6 +211,8 @@
 		s.dispatch(n, e)
 	case steering.ReadBody:
 		n.post(steering.BodyRead{Request: e.Request, Digest: id.DigestOf([]byte(s.requests[e.Request].arrival.Path))})
+	case steering.DataAllowed:
+		s.onData(n, e)
 	case steering.Refuse:
 		s.end(e.Request, func(c *call) { c.refusal = &e.Refusal })
 	case steering.Replay:
