--- a/execute.go
+++ b/execute.go
@@ -9,7 +9,6 @@
 	"bluebellhold/id"
 	"bluebellhold/internal/steering"
 	"bluebellhold/note"
-	"bluebellhold/platform"
 )
 
 // carryOut starts what an effect asks for; it runs with the mutex held, so it never blocks.
@@ -141,9 +140,3 @@
 	report.Running, report.Slots, report.Failed = load.Running, load.Slots, false
 	return report
 }
-
-// isUnavailable reports whether err is a failure to reach the platform.
-func isUnavailable(err error) bool {
-	_, ok := err.(*platform.UnavailableError)
-	return ok
-}
--- a/instance.go
+++ b/instance.go
@@ -30,9 +30,8 @@
 	callerIdleTimeout = 2 * time.Minute
 	shutdownTimeout   = 30 * time.Second
 	// longestRequest is above the longest deadline that a caller can set, so a planned stop cuts no request.
-	longestRequest     = 11 * time.Minute
-	reportsKept        = 1024
-	peerMessagesLogged = "peer"
+	longestRequest = 11 * time.Minute
+	reportsKept    = 1024
 )
 
 // Instance is one entry instance. It is safe for concurrent use.
@@ -127,7 +126,7 @@
 		Listen:       i.config.Self.Peer,
 		Secret:       i.config.Secret,
 		Certificates: i.config.PeerCertificates,
-		Log:          i.log.WithPrefix(peerMessagesLogged),
+		Log:          i.log.WithPrefix("peer"),
 		Registry:     i.registry,
 		Receive:      i.receive,
 		Block:        i.cuts.isCut,
--- a/internal/steering/epoch.go
+++ b/internal/steering/epoch.go
@@ -27,11 +27,6 @@
 	Time time.Time `json:"time"`
 }
 
-// ObjectName returns the name of the object that holds the content of an epoch.
-func (h Head) ObjectName() string {
-	return EpochObject(h.Epoch, h.Digest)
-}
-
 // epochs is the configuration that the instance uses and the newest one that it has heard of.
 type epochs struct {
 	current *note.Compiled
