Remove work and logic that stood twice

A release note was applied twice on its way in, once to be judged and once to be carried out; note.Prepare does both in one pass. The status no longer builds a whole dump for its list of members.

--- a/backend.go
+++ b/backend.go
@@ -142,8 +142,7 @@
 		Freshness:  operator.Freshness{Fresh: now.Before(b.state.FreshUntil()), Until: b.state.FreshUntil()},
 		Store:      operator.Store{Reachable: !down, Since: since},
 	}
-	dump := b.state.Dump(now)
-	for _, m := range dump.Members {
+	for _, m := range b.state.Members() {
 		status.Instances = append(status.Instances, b.memberStatus(m, config.Epoch))
 	}
 	for _, load := range b.state.RegionLoads(now) {
--- a/config.go
+++ b/config.go
@@ -50,9 +50,6 @@
 	Incarnation id.Incarnation
 }
 
-// defaultMaxHeader is the limit of a request's head.
-const defaultMaxHeader id.Bytes = 64 << 10
-
 // ConfigError reports required fields of a Config that are empty.
 type ConfigError struct {
 	Fields []string
--- a/instance.go
+++ b/instance.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -24,7 +23,6 @@
 const (
 	tickEvery         = 20 * time.Millisecond
 	gaugeEvery        = time.Second
-	platformTimeout   = 2 * time.Second
 	probeTimeout      = time.Second
 	headerTimeout     = 10 * time.Second
 	callerIdleTimeout = 2 * time.Minute
@@ -73,7 +71,7 @@
 		c.Registry = metrics.NewRegistry()
 	}
 	if c.MaxHeader == 0 {
-		c.MaxHeader = defaultMaxHeader
+		c.MaxHeader = settings.DefaultHeader
 	}
 	if c.Incarnation == 0 {
 		c.Incarnation = id.Incarnation(time.Now().UnixNano())
@@ -172,7 +170,7 @@
 // OperatorAddress returns the address of the operators' API.
 func (i *Instance) OperatorAddress() string { return i.operator.address() }
 
-// closeCallers stops taking callers' connections and lets running requests finish.
+// closeCallers stops taking callers' connections, and lets running requests finish.
 func (i *Instance) closeCallers() {
 	ctx, cancel := context.WithTimeout(i.ctx, longestRequest)
 	defer cancel()
@@ -231,6 +229,3 @@
 		}
 	}
 }
-
-// localAddress returns the address that a listener is bound to.
-func localAddress(l net.Listener) string { return l.Addr().String() }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,9 +26,6 @@
 	ExitUsage   = 2
 )
 
-// platformCallTimeout bounds each call to the platform; a call that takes longer counts as unanswered.
-const platformCallTimeout = 2 * time.Second
-
 // Main runs the daemon with the arguments and returns its exit status; the log goes to w.
 func Main(arguments []string, w io.Writer) int {
 	command := &cli.Command{
@@ -113,9 +110,7 @@
 	if err != nil {
 		return bluebellhold.Config{}, err
 	}
-	client := platform.NewClient(platform.ClientConfig{
-		Address: s.Platform, Timeout: platformCallTimeout, Instance: s.Name,
-	})
+	client := platform.NewClient(platform.ClientConfig{Address: s.Platform, Instance: s.Name})
 	config := bluebellhold.Config{
 		Self: platform.Member{
 			Instance: s.Name, Region: s.Region, DataCentre: s.DataCentre, Caller: s.Caller, Peer: s.Peer,
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -51,7 +51,7 @@
 		return false
 	}
 	defer response.Body.Close()
-	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(headerOutcome) == outcomeNotRun {
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(headerOutcome) == string(steering.NotRun) {
 		_, _ = io.CopyN(io.Discard, response.Body, int64(DefaultMaxBuffered))
 		a.end(steering.Shed{})
 		return false
--- a/internal/gateway/header.go
+++ b/internal/gateway/header.go
@@ -13,7 +13,6 @@
 	headerRequestTimeout = "Request-Timeout"
 	headerOutcome        = "Outcome"
 	headerAttempt        = "Attempt"
-	outcomeNotRun        = "not run"
 	bearerPrefix         = "Bearer "
 )
 
--- a/internal/steering/dispatch.go
+++ b/internal/steering/dispatch.go
@@ -201,10 +201,7 @@
 }
 
 func (s *State) takeLink(r *request, region regionLimit) bool {
-	if region.link != "" && !s.take(region.link, id.Tokens(r.size+headEstimate)) {
-		return false
-	}
-	return true
+	return region.link == "" || s.take(region.link, id.Tokens(r.size+headEstimate))
 }
 
 func (s *State) start(r *request, region regionLimit, upstream id.Upstream) {
--- a/internal/steering/ending.go
+++ b/internal/steering/ending.go
@@ -47,6 +47,8 @@
 	}
 }
 
+// decideEnding decides what becomes of a request after an attempt. A body that was streamed and an answer that was
+// forwarded in part rule out another attempt.
 func (s *State) decideEnding(r *request, e AttemptEnded) {
 	later := s.now.Add(time.Second)
 	switch ending := e.Ending.(type) {
@@ -55,13 +57,13 @@
 	case Cancelled:
 		s.refuse(r, Refusal{Code: CodeDeadline, Outcome: OutcomeUnknown})
 	case Shed:
-		s.retryOrRefuse(r, e, retry.Shed{}, Refusal{Code: CodeCapacity, After: later})
+		s.retryOrRefuse(r, e.Consumed, retry.Shed{}, Refusal{Code: CodeCapacity, After: later})
 	case NotSent:
-		s.retryOrRefuse(r, e, retry.NothingSent{}, Refusal{Code: CodeUpstream, After: later})
+		s.retryOrRefuse(r, e.Consumed, retry.NothingSent{}, Refusal{Code: CodeUpstream, After: later})
 	case Broken:
-		s.broken(r, e, retry.Broken{}, ending.Forwarded, Refusal{Code: CodeUpstream})
+		s.retryOrRefuse(r, e.Consumed || ending.Forwarded, retry.Broken{}, Refusal{Code: CodeUpstream})
 	case TimedOut:
-		s.broken(r, e, retry.TimedOut{}, ending.Forwarded, Refusal{Code: CodeDeadline})
+		s.retryOrRefuse(r, e.Consumed || ending.Forwarded, retry.TimedOut{}, Refusal{Code: CodeDeadline})
 	}
 }
 
@@ -74,34 +76,23 @@
 	}
 }
 
-// broken handles an attempt that ended after bytes were sent; an answer that was forwarded in part cannot be retried.
-func (s *State) broken(r *request, e AttemptEnded, failure retry.Failure, forwarded bool, refusal Refusal) {
-	if forwarded {
-		refusal.Outcome = OutcomeUnknown
-		s.refuse(r, refusal)
-		return
-	}
-	s.retryOrRefuse(r, e, failure, refusal)
-}
-
 // retryOrRefuse sends the request to another upstream if that is safe, within its deadline and within the budget.
 //
-// The refusal says "not run" only if no earlier attempt may have run either.
-func (s *State) retryOrRefuse(r *request, e AttemptEnded, failure retry.Failure, refusal Refusal) {
-	if e.Consumed {
-		refusal.Outcome = outcomeOf(r.mayHaveRun || !isCertainlyNotRun(failure))
-		s.refuse(r, refusal)
-		return
-	}
-	verdict := retry.Decide(s.now, failure, retry.Attempt{
+// IsFinal is set if this attempt has to be the last one. The refusal says "not run" only if no earlier attempt may have
+// run either.
+func (s *State) retryOrRefuse(r *request, isFinal bool, failure retry.Failure, refusal Refusal) {
+	attempt := retry.Attempt{
 		Number:     r.attempts,
 		Idempotent: r.route.Repeat,
 		Deadline:   r.deadline,
 		Foreign:    r.retried,
 		Suspect:    r.suspect || s.isSuspect(r),
 		MayHaveRun: r.mayHaveRun,
-	}, r.service.budget)
-	switch v := verdict.(type) {
+	}
+	if isFinal {
+		attempt.Limit = attempt.Number
+	}
+	switch v := retry.Decide(s.now, failure, attempt, r.service.budget).(type) {
 	case retry.Again:
 		r.mayHaveRun = v.MayHaveRun
 		r.excluded = append(r.excluded, r.upstream)
@@ -112,15 +103,6 @@
 	}
 }
 
-func isCertainlyNotRun(failure retry.Failure) bool {
-	switch failure.(type) {
-	case retry.NothingSent, retry.Shed:
-		return true
-	default:
-		return false
-	}
-}
-
 func outcomeOf(mayHaveRun bool) Outcome {
 	if mayHaveRun {
 		return OutcomeUnknown
--- a/internal/steering/limits.go
+++ b/internal/steering/limits.go
@@ -49,14 +49,8 @@
 func (s *State) slotLimits() []allotment.Limit {
 	config := s.epochs.current
 	var limits []allotment.Limit
-	for name, service := range config.Services {
-		slots := make(map[id.Region]id.Slots)
-		for upstream, u := range service.Upstreams {
-			if _, draining := config.Drains[upstream]; !draining {
-				slots[u.Region] += u.Slots
-			}
-		}
-		for region, n := range slots {
+	for name := range config.Services {
+		for region, n := range config.Slots(name) {
 			limits = append(limits, allotment.Limit{
 				ID: slotsLimit(name, region), Amount: allotment.Concurrent{Slots: n}, Region: region,
 			})
--- a/internal/steering/proposal.go
+++ b/internal/steering/proposal.go
@@ -161,7 +161,7 @@
 
 // writeProposal applies the note to the newest configuration and writes the new content.
 func (s *State) writeProposal(p *proposal) {
-	next, err := s.planned(p.Note)
+	next, _, err := note.Prepare(s.epochs.current.Configuration, p.Note, s.measured())
 	if err != nil {
 		s.endProposal(0, err)
 		return
@@ -176,21 +176,6 @@
 	s.emit(WriteObject{Call: call, Name: EpochObject(next.Epoch, digest), Body: body})
 }
 
-// planned returns the configuration after the note, or why the note cannot be carried out.
-func (s *State) planned(n note.Note) (note.Configuration, error) {
-	current := s.epochs.current.Configuration
-	next, err := note.Apply(current, n)
-	if err != nil {
-		return next, err
-	}
-	if _, err := note.Plan(current, n, s.measured()); err != nil {
-		return next, err
-	}
-	next.Epoch = current.Epoch + 1
-	next.Note = n.ID
-	return next, nil
-}
-
 func (s *State) proposalWritten(e ObjectDone) {
 	p := s.pendingProposal(e.Call, stepWrite)
 	if p == nil || e.Err != nil {
--- a/internal/steering/status.go
+++ b/internal/steering/status.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"bluebellhold/fleet"
 	"bluebellhold/id"
 	"bluebellhold/note"
 )
@@ -19,6 +20,9 @@
 	return s.epochs.current.Configuration
 }
 
+// Members returns the instances of the fleet by name, the own one included.
+func (s *State) Members() []fleet.Member { return s.view.Members() }
+
 // FreshUntil returns until when the instance may decide on keys.
 func (s *State) FreshUntil() time.Time { return s.fresh.until }
 
--- a/note/plan.go
+++ b/note/plan.go
@@ -28,9 +28,17 @@
 // is unknown is not refused, since operators must be able to act while measurements are missing; the change carries
 // a caution instead. A service is never left without any slot that takes new work.
 func Plan(c Configuration, n Note, m Measured) (Changes, error) {
+	_, changes, err := Prepare(c, n, m)
+	return changes, err
+}
+
+// Prepare returns the configuration that follows c, and what Plan reports of the same note.
+//
+// The configuration is to be used only if there is no error.
+func Prepare(c Configuration, n Note, m Measured) (Configuration, Changes, error) {
 	after, err := Apply(c, n)
 	if err != nil {
-		return nil, err
+		return Configuration{}, nil, err
 	}
 	p := plan{before: c, after: after, note: n, measured: m, cautions: make(map[string]string)}
 	p.drains()
@@ -41,9 +49,9 @@
 		changes[i].Caution = p.cautions[changes[i].Path]
 	}
 	if fields := fieldErrors(&p.Collector); len(fields) > 0 {
-		return changes, &InfeasibleError{Fields: fields}
+		return Configuration{}, changes, &InfeasibleError{Fields: fields}
 	}
-	return changes, nil
+	return after, changes, nil
 }
 
 type plan struct {
--- a/server.go
+++ b/server.go
@@ -53,7 +53,7 @@
 	_ = s.listener.Close()
 }
 
-func (s *server) address() string { return localAddress(s.listener) }
+func (s *server) address() string { return s.listener.Addr().String() }
 
 // ListenError reports an address that the instance cannot listen on.
 type ListenError struct {
