Hand shares back only after all callers are gone

Cause: a planned stop told the ledger to release as soon as no request ran, while the callers' server was still closing. The instance now reports when the last connection is closed, and the release waits for that. TestPlannedStopServesUntilCallersAreGone fails without it.

--- a/instance.go
+++ b/instance.go
@@ -170,11 +170,12 @@
 // OperatorAddress returns the address of the operators' API.
 func (i *Instance) OperatorAddress() string { return i.operator.address() }
 
-// closeCallers stops taking callers' connections, and lets running requests finish.
+// closeCallers stops taking callers' connections, lets running requests finish and reports that none is left.
 func (i *Instance) closeCallers() {
 	ctx, cancel := context.WithTimeout(i.ctx, longestRequest)
 	defer cancel()
 	i.callers.stop(ctx)
+	i.Post(steering.CallersClosed{})
 }
 
 // close ends the servers gracefully, then the sessions and the work for the platform.
--- a/internal/steering/effect.go
+++ b/internal/steering/effect.go
@@ -152,7 +152,7 @@
 // Leave tells callers with each answer to close their connections, because a planned stop has begun.
 type Leave struct{}
 
-// CloseCallers stops taking connections and requests of callers; those that run are finished.
+// CloseCallers stops taking connections and requests of callers; those that run are finished. CallersClosed follows.
 type CloseCallers struct{}
 
 // Stop ends the process: nothing runs any more and all shares are handed back.
--- a/internal/steering/event.go
+++ b/internal/steering/event.go
@@ -147,6 +147,9 @@
 // StopRequested reports an operator's planned stop or a termination signal.
 type StopRequested struct{}
 
+// CallersClosed reports that no caller is connected any more, after a CloseCallers effect.
+type CallersClosed struct{}
+
 // Ticket identifies an operator's call that waits for a Reply.
 type Ticket uint64
 
@@ -234,4 +237,5 @@
 func (RowsScanned) isEvent()     {}
 func (RowsRead) isEvent()        {}
 func (ObjectDone) isEvent()      {}
+func (CallersClosed) isEvent()   {}
 func (StopRequested) isEvent()   {}
--- a/internal/steering/faults_test.go
+++ b/internal/steering/faults_test.go
@@ -339,6 +339,21 @@
 	require.Equal(t, 1, c.runs)
 }
 
+// Guards against a planned stop that hands its shares back, and so refuses a request, before all callers are gone.
+func TestPlannedStopServesUntilCallersAreGone(t *testing.T) {
+	s := newSim(t, 36, 7)
+	s.startZadruga()
+	s.closing = 2 * time.Second
+	stopping := s.nodes[4]
+	stopping.post(steering.StopRequested{})
+	s.run(7 * time.Second)
+	c := s.call(stopping, s.check("podjetje"))
+	s.run(10 * time.Second)
+	require.Nil(t, c.refusal)
+	require.Equal(t, 1, c.runs)
+	require.True(t, stopping.stop)
+}
+
 // Guards against a fleet that serves nothing after all its instances were killed and started again at once.
 func TestFleetRecoversAfterTotalRestart(t *testing.T) {
 	s := newSim(t, 28, 7)
--- a/internal/steering/sim_test.go
+++ b/internal/steering/sim_test.go
@@ -38,6 +38,8 @@
 	runs      map[string]int
 	finished  []*call
 	tickets   steering.Ticket
+	// closing is the time that a stopping process takes to close its callers' connections.
+	closing   time.Duration
 	onArrival func(*call)
 	// onData is called when a request may move bytes over its link.
 	onData func(*node, steering.DataAllowed)
@@ -217,6 +219,8 @@
 		s.end(e.Request, func(c *call) { c.refusal = &e.Refusal })
 	case steering.Replay:
 		s.end(e.Request, func(c *call) { c.answer = &e.Answer })
+	case steering.CloseCallers:
+		s.after(s.closing, func() { n.post(steering.CallersClosed{}) })
 	case steering.Stop:
 		n.stop = true
 	case steering.Reply:
--- a/internal/steering/state.go
+++ b/internal/steering/state.go
@@ -150,6 +150,8 @@
 		s.objectDone(e)
 	case StopRequested:
 		s.stopRequested()
+	case CallersClosed:
+		s.stopping.isClosed = true
 	}
 }
 
--- a/internal/steering/stop.go
+++ b/internal/steering/stop.go
@@ -20,9 +20,11 @@
 type stopping struct {
 	// lingerUntil is when the last cached look-up answer that names this instance has expired.
 	lingerUntil time.Time
-	isClosed    bool
-	releaseBy   time.Time
-	isDone      bool
+	// isClosing is set once the callers' connections are being closed, isClosed once none is left.
+	isClosing bool
+	isClosed  bool
+	releaseBy time.Time
+	isDone    bool
 	// unsettled counts the claims that are not settled in the table yet.
 	unsettled int
 }
@@ -46,11 +48,11 @@
 	if !p.isLeaving() || p.isDone || s.now.Before(p.lingerUntil) {
 		return
 	}
-	if !p.isClosed {
-		p.isClosed = true
+	if !p.isClosing {
+		p.isClosing = true
 		s.emit(CloseCallers{})
 	}
-	if len(s.requests) > 0 {
+	if !p.isClosed || len(s.requests) > 0 {
 		return
 	}
 	if p.releaseBy.IsZero() {
