--- a/allotment/event.go
+++ b/allotment/event.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"bluebellhold/id"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // Event is an input of Reduce.
@@ -28,7 +28,7 @@
 // TransactionDone posts the result of a Transact effect; with an error the outcome is unknown.
 type TransactionDone struct {
 	ID     uint64
-	Result platform.Result
+	Result store.Result
 	Err    error
 }
 
@@ -38,7 +38,7 @@
 type RowsRead struct {
 	ID     uint64
 	SentAt time.Time
-	Rows   []platform.Row
+	Rows   []store.Row
 	Err    error
 }
 
@@ -67,7 +67,7 @@
 // Transact asks for a transaction whose result is posted as TransactionDone.
 type Transact struct {
 	ID          uint64
-	Transaction platform.Transaction
+	Transaction store.Transaction
 }
 
 // ReadRows asks for rows that are posted as RowsRead.
--- a/allotment/example_test.go
+++ b/allotment/example_test.go
@@ -6,12 +6,12 @@
 	"time"
 
 	"bluebellhold/allotment"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // Example runs one ledger against a table in memory until it holds a whole limit, and spends from it.
 func Example() {
-	var table platform.Memory
+	var table store.Memory
 	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	self := allotment.Member{Instance: "north-1", Region: "north", Address: "127.0.0.1:7000", Live: true}
 	ledger := allotment.New(allotment.Config{Self: self, Incarnation: 1})
--- a/allotment/holders_bench_test.go
+++ b/allotment/holders_bench_test.go
@@ -13,7 +13,7 @@
 
 	"bluebellhold/allotment"
 	"bluebellhold/id"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // BenchmarkMembers measures what one change of membership costs, since it ranks the members anew for each limit.
@@ -69,7 +69,7 @@
 func countShareWrites(w *world) *int {
 	count := new(int)
 	w.hold = func(_ *process, e allotment.Effect) bool {
-		if t, ok := e.(allotment.Transact); ok && slices.ContainsFunc(t.Transaction.Writes, func(w platform.Write) bool {
+		if t, ok := e.(allotment.Transact); ok && slices.ContainsFunc(t.Transaction.Writes, func(w store.Write) bool {
 			return strings.HasPrefix(w.Name, "share/")
 		}) {
 			*count++
--- a/allotment/lease.go
+++ b/allotment/lease.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"bluebellhold/id"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // ownLease is what is known about this instance's lease row.
@@ -235,7 +235,7 @@
 }
 
 // seeOwn applies what a call has shown of the own lease row.
-func (l *Ledger) seeOwn(now time.Time, row platform.Row, asked uint64) {
+func (l *Ledger) seeOwn(now time.Time, row store.Row, asked uint64) {
 	own := &l.lease
 	if asked <= own.asked {
 		return
@@ -271,7 +271,7 @@
 }
 
 // seeLease applies what a call has shown of another instance's lease row.
-func (l *Ledger) seeLease(now time.Time, instance id.Instance, row platform.Row, asked uint64) {
+func (l *Ledger) seeLease(now time.Time, instance id.Instance, row store.Row, asked uint64) {
 	seen, ok := l.leases[instance]
 	if !ok {
 		seen = &leaseSeen{}
--- a/allotment/share.go
+++ b/allotment/share.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"bluebellhold/id"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 const (
@@ -27,16 +27,16 @@
 }
 
 // addTo adds the change to a transaction. Parts of an orphan may only be removed as long as it has no lease row.
-func (c change) addTo(t platform.Transaction) platform.Transaction {
+func (c change) addTo(t store.Transaction) store.Transaction {
 	name := shareName(c.account.limit.ID)
-	t.Conditions = append(t.Conditions, platform.Condition{Name: name, Version: c.version})
+	t.Conditions = append(t.Conditions, store.Condition{Name: name, Version: c.version})
 	for _, instance := range c.orphaned {
-		condition := platform.Condition{Name: leaseName(instance)}
+		condition := store.Condition{Name: leaseName(instance)}
 		if !slices.Contains(t.Conditions, condition) {
 			t.Conditions = append(t.Conditions, condition)
 		}
 	}
-	w := platform.Write{Name: name, Delete: len(c.next) == 0}
+	w := store.Write{Name: name, Delete: len(c.next) == 0}
 	if !w.Delete {
 		w.Value = encode(c.next)
 	}
@@ -45,7 +45,7 @@
 }
 
 // seeShare applies what a call has shown of a share row.
-func (l *Ledger) seeShare(now time.Time, a *account, row platform.Row, asked uint64) {
+func (l *Ledger) seeShare(now time.Time, a *account, row store.Row, asked uint64) {
 	if asked <= a.rowAsked {
 		return
 	}
@@ -68,7 +68,7 @@
 
 // commitChange applies a share row that was written. If the answer was lost or another call has shown a later row,
 // only the smaller entry counts until the row has been read again.
-func (l *Ledger) commitChange(now time.Time, c change, written map[string]platform.Row) {
+func (l *Ledger) commitChange(now time.Time, c change, written map[string]store.Row) {
 	a := c.account
 	a.proposing = false
 	parts := c.next[l.config.Self.Instance]
--- a/allotment/table.go
+++ b/allotment/table.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"bluebellhold/id"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 const (
@@ -102,7 +102,7 @@
 
 // see applies what the call numbered asked has shown of a row. What a call has shown is ignored if it was made before
 // another call's view of the same row came in, because the order of the two views is unknown.
-func (l *Ledger) see(now time.Time, row platform.Row, asked uint64) {
+func (l *Ledger) see(now time.Time, row store.Row, asked uint64) {
 	if limit, ok := limitOf(row.Name); ok {
 		if a, ok := l.accounts[limit]; ok && l.lease.held {
 			l.seeShare(now, a, row, asked)
@@ -181,9 +181,9 @@
 	}
 }
 
-func (l *Ledger) transaction(t *attempt) platform.Transaction {
+func (l *Ledger) transaction(t *attempt) store.Transaction {
 	self := leaseName(l.config.Self.Instance)
-	own := platform.Write{Name: self, Delete: t.release}
+	own := store.Write{Name: self, Delete: t.release}
 	if !t.release {
 		own.Value = encode(leaseRow{
 			Incarnation: l.config.Incarnation,
@@ -193,14 +193,14 @@
 			Serial:      t.serial,
 		})
 	}
-	result := platform.Transaction{
-		Conditions: []platform.Condition{{Name: self, Version: t.base}},
-		Writes:     []platform.Write{own},
+	result := store.Transaction{
+		Conditions: []store.Condition{{Name: self, Version: t.base}},
+		Writes:     []store.Write{own},
 	}
 	for _, gone := range t.reclaims {
 		name := leaseName(gone.instance)
-		result.Conditions = append(result.Conditions, platform.Condition{Name: name, Version: gone.version})
-		result.Writes = append(result.Writes, platform.Write{Name: name, Delete: true})
+		result.Conditions = append(result.Conditions, store.Condition{Name: name, Version: gone.version})
+		result.Writes = append(result.Writes, store.Write{Name: name, Delete: true})
 	}
 	for _, c := range t.changes {
 		result = c.addTo(result)
@@ -248,14 +248,14 @@
 
 // commit applies a transaction that took effect. The rows as written are unknown if its answer was lost; version is
 // the new version of the own lease row then.
-func (l *Ledger) commit(now time.Time, t *attempt, version uint64, rows []platform.Row) {
+func (l *Ledger) commit(now time.Time, t *attempt, version uint64, rows []store.Row) {
 	for _, other := range l.attempts {
 		if other != t {
 			l.abandon(now, other)
 		}
 	}
 	l.attempts = nil
-	written := make(map[string]platform.Row, len(rows))
+	written := make(map[string]store.Row, len(rows))
 	for _, row := range rows {
 		written[row.Name] = row
 	}
--- a/claim/answer.go
+++ b/claim/answer.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"bluebellhold/id"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 func (b *Book) finished(now time.Time, e Finished) {
@@ -68,7 +68,7 @@
 	return r
 }
 
-func (b *Book) resolveCompletion(c *cell, row platform.Row) {
+func (b *Book) resolveCompletion(c *cell, row store.Row) {
 	if row.Version == 0 {
 		// The claim was deleted by outside interference; the request ran, so its answer is still stored.
 		c.version = 0
@@ -105,7 +105,7 @@
 		return
 	}
 	delete(b.calls, e.ID)
-	var absent *platform.NotFoundError
+	var absent *store.NotFoundError
 	if e.Err != nil && !errors.As(e.Err, &absent) {
 		b.rest(now, c)
 		return
--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -10,14 +10,14 @@
 
 	"bluebellhold/claim"
 	"bluebellhold/id"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // BenchmarkConcurrent keeps 200 requests in progress against a table that takes 5 ms and an upstream that takes 20 ms
 // of virtual time. It reports transactions and row writes per request, and rates per second of virtual time.
 func BenchmarkConcurrent(b *testing.B) {
 	const concurrent, tableTime, runRounds = 200, 5 * time.Millisecond, 4
-	var table platform.Memory
+	var table store.Memory
 	book, now := claim.New(claim.Config{Seed: 1}), start
 	asked, settled, transactions, writes := 0, 0, 0, 0
 	// A round lasts as long as a transaction. due holds the events of this and the next rounds.
--- a/claim/effect.go
+++ b/claim/effect.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"bluebellhold/id"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // Effect is something that the caller of Reduce has to do.
@@ -13,7 +13,7 @@
 // Transact asks for a transaction; TransactionDone reports its result.
 type Transact struct {
 	ID          uint64
-	Transaction platform.Transaction
+	Transaction store.Transaction
 }
 
 // ReadRows asks for rows; RowsRead reports the result.
--- a/claim/event.go
+++ b/claim/event.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"bluebellhold/id"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // Event is something that happened and that Reduce takes into account.
@@ -41,21 +41,21 @@
 // TransactionDone reports the result of a Transact effect.
 type TransactionDone struct {
 	ID     uint64
-	Result platform.Result
+	Result store.Result
 	Err    error
 }
 
 // RowsRead reports the result of a ReadRows effect.
 type RowsRead struct {
 	ID   uint64
-	Rows []platform.Row
+	Rows []store.Row
 	Err  error
 }
 
 // RowsScanned reports the result of a ScanRows effect.
 type RowsScanned struct {
 	ID   uint64
-	Rows []platform.Row
+	Rows []store.Row
 	Err  error
 }
 
--- a/claim/example_test.go
+++ b/claim/example_test.go
@@ -7,13 +7,13 @@
 
 	"bluebellhold/claim"
 	"bluebellhold/id"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // A shell executes the effects of a Book and reports their results as events. Here the table answers at once.
 func Example() {
 	ctx, now := context.Background(), time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
-	var table platform.Memory
+	var table store.Memory
 	book := claim.New(claim.Config{Instance: "entry-1", Incarnation: 1, Seed: 42})
 
 	var reduce func(e claim.Event)
--- a/claim/group.go
+++ b/claim/group.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // flight is the group of cells whose writes are in flight, first as a transaction and after an error as a read.
@@ -48,13 +48,13 @@
 		return
 	}
 	f := &flight{id: b.nextID(), cells: group}
-	t := platform.Transaction{
-		Conditions: make([]platform.Condition, 0, len(group)),
-		Writes:     make([]platform.Write, 0, len(group)),
+	t := store.Transaction{
+		Conditions: make([]store.Condition, 0, len(group)),
+		Writes:     make([]store.Write, 0, len(group)),
 	}
 	for _, c := range group {
 		c.flying = true
-		t.Conditions = append(t.Conditions, platform.Condition{Name: c.name, Version: c.version})
+		t.Conditions = append(t.Conditions, store.Condition{Name: c.name, Version: c.version})
 		t.Writes = append(t.Writes, b.write(now, c))
 	}
 	b.flight = f
@@ -94,12 +94,12 @@
 	b.queueGone = 0
 }
 
-func (b *Book) write(now time.Time, c *cell) platform.Write {
+func (b *Book) write(now time.Time, c *cell) store.Write {
 	switch c.stage {
 	case stageReleasing, stageClearing:
-		return platform.Write{Name: c.name, Delete: true}
+		return store.Write{Name: c.name, Delete: true}
 	case stageCompleting:
-		return platform.Write{Name: c.name, Value: b.doneRecord(now, c).encode()}
+		return store.Write{Name: c.name, Value: b.doneRecord(now, c).encode()}
 	}
 	dispatchBy := now.Add(b.config.DispatchLimit)
 	if c.owner.deadline.Before(dispatchBy) {
@@ -114,7 +114,7 @@
 		State: stateClaimed, Digest: c.digest, Claimant: c.claimant,
 		Deadline: s.deadline, Expiry: now.Add(b.config.Lifetime).UnixMilli(),
 	}
-	return platform.Write{Name: c.name, Value: r.encode()}
+	return store.Write{Name: c.name, Value: r.encode()}
 }
 
 func (b *Book) transactionDone(now time.Time, e TransactionDone) {
@@ -147,7 +147,7 @@
 }
 
 // land decides the cells of the flight from their rows; those that need another write go before the queue.
-func (b *Book) land(now time.Time, rows []platform.Row, committed bool) {
+func (b *Book) land(now time.Time, rows []store.Row, committed bool) {
 	f, newcomers := b.flight, b.queue
 	b.flight, b.queue = nil, nil
 	for i, c := range f.cells {
@@ -191,12 +191,12 @@
 }
 
 // match orders rows like cells, and reports whether there is a row for each cell.
-func match(cells []*cell, rows []platform.Row) ([]platform.Row, bool) {
-	byName := make(map[string]platform.Row, len(rows))
+func match(cells []*cell, rows []store.Row) ([]store.Row, bool) {
+	byName := make(map[string]store.Row, len(rows))
 	for _, r := range rows {
 		byName[r.Name] = r
 	}
-	ordered := make([]platform.Row, 0, len(cells))
+	ordered := make([]store.Row, 0, len(cells))
 	for _, c := range cells {
 		r, ok := byName[c.name]
 		if !ok {
@@ -207,7 +207,7 @@
 	return ordered, true
 }
 
-func anyChanged(cells []*cell, rows []platform.Row) bool {
+func anyChanged(cells []*cell, rows []store.Row) bool {
 	for i, c := range cells {
 		if rows[i].Version != c.version {
 			return true
--- a/claim/resolve.go
+++ b/claim/resolve.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // committed continues a cell whose write took effect; row is the row as written.
-func (b *Book) committed(now time.Time, c *cell, row platform.Row) {
+func (b *Book) committed(now time.Time, c *cell, row store.Row) {
 	switch c.stage {
 	case stageClaiming:
 		b.ours(now, c, row.Version, c.sends[len(c.sends)-1])
@@ -29,7 +29,7 @@
 //
 // A write without a result may still take effect after row was read. That is harmless: repeated writes of one claim
 // carry the same claimant id, and the holder of a row that appears after its request was decided never runs it.
-func (b *Book) resolve(now time.Time, c *cell, row platform.Row) {
+func (b *Book) resolve(now time.Time, c *cell, row store.Row) {
 	switch c.stage {
 	case stageClaiming:
 		b.resolveClaim(now, c, row)
@@ -49,7 +49,7 @@
 	}
 }
 
-func (b *Book) resolveClaim(now time.Time, c *cell, row platform.Row) {
+func (b *Book) resolveClaim(now time.Time, c *cell, row store.Row) {
 	if row.Version == 0 {
 		c.version = 0
 		if c.owner == nil {
--- a/claim/world_test.go
+++ b/claim/world_test.go
@@ -12,7 +12,7 @@
 
 	"bluebellhold/claim"
 	"bluebellhold/id"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
@@ -71,12 +71,12 @@
 // world simulates instances, store, callers and the upstream, and checks what must hold at each step.
 type world struct {
 	t     require.TestingT
-	store platform.Memory
+	store store.Memory
 	now   time.Time
 	down  bool
 	nodes []*node
 	calls []call
-	late  []platform.Transaction
+	late  []store.Transaction
 	// landed holds the values of the late writes that took effect.
 	landed   string
 	requests []*request
@@ -261,7 +261,7 @@
 	// A failed read comes with the rows of an empty table, which the Book must not believe.
 	ctx, source := context.Background(), &w.store
 	if f != faultNone {
-		err, source = &platform.UnavailableError{Call: "test"}, &platform.Memory{}
+		err, source = &store.UnavailableError{Call: "test"}, &store.Memory{}
 	}
 	applied := f == faultNone || f == faultLost
 	var result claim.Event
@@ -275,7 +275,7 @@
 			done.Result = w.transact(e.Transaction)
 		}
 		if err != nil {
-			done.Result = platform.Result{}
+			done.Result = store.Result{}
 		}
 		result = done
 	case claim.ReadRows:
@@ -302,7 +302,7 @@
 	c.from.inbox = append(c.from.inbox, result)
 }
 
-func (w *world) transact(t platform.Transaction) platform.Result {
+func (w *world) transact(t store.Transaction) store.Result {
 	result, err := w.store.Transact(context.Background(), t)
 	require.NoError(w.t, err)
 	if result.Committed {
--- a/config.go
+++ b/config.go
@@ -9,7 +9,7 @@
 
 	"bluebellhold/id"
 	"bluebellhold/internal/peer"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // Config configures an Instance.
@@ -17,16 +17,16 @@
 // Self, Table, Objects, Directory, Secret and Token are required. The addresses in Self are those that the instance
 // listens on and that others reach it at.
 type Config struct {
-	Self platform.Member
+	Self store.Member
 	// Operator is the address of the operators' API.
 	Operator string
 	// Secret is shared by the instances of a fleet and authenticates their sessions.
 	Secret []byte
 	// Token authenticates operators.
 	Token     []byte
-	Table     platform.Table
-	Objects   platform.Objects
-	Directory platform.Directory
+	Table     store.Table
+	Objects   store.Objects
+	Directory store.Directory
 	// Log receives the log; nil discards it.
 	Log *log.Logger
 	// Registry receives the metrics; nil means a registry of its own.
--- a/examples/quickstart/main.go
+++ b/examples/quickstart/main.go
@@ -12,7 +12,7 @@
 	"bluebellhold"
 	"bluebellhold/id"
 	"bluebellhold/internal/standin"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 const (
@@ -62,19 +62,19 @@
 
 // instance is one entry instance of the example with the address of its operators' API.
 type instance struct {
-	platform.Member
+	store.Member
 	operator string
 }
 
 func startInstances(ctx context.Context, server *standin.Server) ([]instance, error) {
 	var instances []instance
-	var members []platform.Member
+	var members []store.Member
 	for _, region := range regions {
 		addresses, err := freeAddresses(3)
 		if err != nil {
 			return nil, err
 		}
-		member := platform.Member{
+		member := store.Member{
 			Instance: id.Instance(region + "-1"), Region: region, DataCentre: id.DataCentre(region + "-1"),
 			Caller: addresses[0], Peer: addresses[1],
 		}
@@ -93,7 +93,7 @@
 }
 
 func startInstance(ctx context.Context, server *standin.Server, i instance) error {
-	client := platform.NewClient(platform.ClientConfig{Address: server.PlatformAddress(), Instance: i.Instance})
+	client := store.NewClient(store.ClientConfig{Address: server.PlatformAddress(), Instance: i.Instance})
 	running, err := bluebellhold.New(bluebellhold.Config{
 		Self: i.Member, Operator: i.operator, Secret: []byte(secret), Token: []byte(token),
 		Table: client, Objects: client, Directory: client,
--- a/execute.go
+++ b/execute.go
@@ -9,7 +9,7 @@
 	"bluebellhold/id"
 	"bluebellhold/internal/steering"
 	"bluebellhold/note"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // carryOut starts what an effect asks for; it runs with the mutex held, so it never blocks.
@@ -48,7 +48,7 @@
 
 // callOut carries out an effect that waits for the platform or an upstream, and posts the result.
 func (i *Instance) callOut(effect steering.Effect) {
-	ctx, cancel := context.WithTimeout(i.ctx, platform.DefaultTimeout)
+	ctx, cancel := context.WithTimeout(i.ctx, store.DefaultTimeout)
 	defer cancel()
 	switch e := effect.(type) {
 	case steering.Transact:
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -2,7 +2,7 @@
 
 import (
 	"bluebellhold/id"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // Event is what a View learns: Listed, Heard, SaidFarewell or Tick.
@@ -13,7 +13,7 @@
 // Listed reports a list of instances that the platform returned. During an outage of the list there is no such event,
 // so the last list stays in force.
 type Listed struct {
-	Members []platform.Member
+	Members []store.Member
 }
 
 // Heard reports a heartbeat or the reply to one.
--- a/fleet/example_test.go
+++ b/fleet/example_test.go
@@ -5,15 +5,15 @@
 	"time"
 
 	"bluebellhold/fleet"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 func ExampleView() {
-	self := platform.Member{Instance: "osrednja-1", Region: "osrednja", DataCentre: "lj1"}
-	other := platform.Member{Instance: "osrednja-2", Region: "osrednja", DataCentre: "lj1"}
+	self := store.Member{Instance: "osrednja-1", Region: "osrednja", DataCentre: "lj1"}
+	other := store.Member{Instance: "osrednja-2", Region: "osrednja", DataCentre: "lj1"}
 	view := fleet.New(fleet.Config{Self: self, Incarnation: 1})
 	now := time.Now()
-	view.Reduce(now, fleet.Listed{Members: []platform.Member{self, other}})
+	view.Reduce(now, fleet.Listed{Members: []store.Member{self, other}})
 	view.Reduce(now, fleet.Heard{Instance: "osrednja-2", Incarnation: 7})
 	fmt.Println(view.Status("osrednja-2"))
 	for _, change := range view.Reduce(now.Add(3*time.Second), fleet.Tick{}) {
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"bluebellhold/id"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // Status tells how far other instances can rely on one.
@@ -26,7 +26,7 @@
 //
 // Of an instance that was heard but never listed only the name is known.
 type Member struct {
-	platform.Member
+	store.Member
 	Status      Status         `json:"status"`
 	Incarnation id.Incarnation `json:"incarnation,omitempty"` // zero if it was not heard
 	HeardAt     time.Time      `json:"heard,omitzero"`
@@ -58,7 +58,7 @@
 }
 
 // list takes over the list's entry for the instance.
-func (e *entry) list(m platform.Member) {
+func (e *entry) list(m store.Member) {
 	e.Member.Member = m
 	e.listed = true
 	e.outdated = e.outdated && m.Leaving
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"bluebellhold/id"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // defaultSuspectAfter allows for three lost heartbeats, which are sent every 500 ms.
@@ -14,7 +14,7 @@
 
 // Config describes the instance that keeps the view.
 type Config struct {
-	Self        platform.Member
+	Self        store.Member
 	Incarnation id.Incarnation
 	// SuspectAfter is the silence after which an instance is no longer live; zero means 2 s.
 	SuspectAfter time.Duration
@@ -65,7 +65,7 @@
 	if v.graceUntil.IsZero() {
 		v.graceUntil = now.Add(v.config.SuspectAfter)
 	}
-	members := make(map[id.Instance]platform.Member, len(l.Members))
+	members := make(map[id.Instance]store.Member, len(l.Members))
 	for _, m := range l.Members {
 		members[m.Instance] = m
 	}
@@ -114,7 +114,7 @@
 }
 
 func (v *View) add(instance id.Instance) *entry {
-	e := &entry{Member: Member{Member: platform.Member{Instance: instance}, Status: Gone}}
+	e := &entry{Member: Member{Member: store.Member{Instance: instance}, Status: Gone}}
 	v.entries[instance] = e
 	return e
 }
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -10,7 +10,7 @@
 
 	"bluebellhold/fleet"
 	"bluebellhold/id"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 const suspectAfter = 2 * time.Second
@@ -20,11 +20,11 @@
 	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 )
 
-func member(name id.Instance, centre id.DataCentre) platform.Member {
-	return platform.Member{Instance: name, Region: "r", DataCentre: centre, Peer: "10.0.0.1:1"}
+func member(name id.Instance, centre id.DataCentre) store.Member {
+	return store.Member{Instance: name, Region: "r", DataCentre: centre, Peer: "10.0.0.1:1"}
 }
 
-func listed(members ...platform.Member) fleet.Listed {
+func listed(members ...store.Member) fleet.Listed {
 	return fleet.Listed{Members: members}
 }
 
@@ -42,13 +42,13 @@
 }
 
 // containing returns the list's entry for the instance.
-func containing(l fleet.Listed, name id.Instance) (platform.Member, bool) {
+func containing(l fleet.Listed, name id.Instance) (store.Member, bool) {
 	for _, m := range slices.Backward(l.Members) {
 		if m.Instance == name {
 			return m, true
 		}
 	}
-	return platform.Member{}, false
+	return store.Member{}, false
 }
 
 // lists returns the entries of the lists since an event, oldest first, and whether the newest list has one.
--- a/forward_test.go
+++ b/forward_test.go
@@ -17,7 +17,7 @@
 
 	"bluebellhold"
 	"bluebellhold/id"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 const (
@@ -126,15 +126,15 @@
 // startSingle runs one instance over an in-memory platform, with a service of one upstream, and returns the address
 // for callers.
 func startSingle(t testing.TB, upstream string) string {
-	var store platform.Memory
-	self := platform.Member{
+	var memory store.Memory
+	self := store.Member{
 		Instance: "osrednja-1", Region: "osrednja", DataCentre: "osrednja-1", Caller: freeAddress(t), Peer: freeAddress(t),
 	}
-	store.SetMembers([]platform.Member{self})
+	memory.SetMembers([]store.Member{self})
 	operator := freeAddress(t)
 	instance, err := bluebellhold.New(bluebellhold.Config{
 		Self: self, Operator: operator, Secret: []byte(peerSecret), Token: []byte(operatorToken),
-		Table: &store, Objects: &store, Directory: &store,
+		Table: &memory, Objects: &memory, Directory: &memory,
 	})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,7 +16,7 @@
 
 	"bluebellhold"
 	"bluebellhold/internal/settings"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // The exit statuses of the daemon.
@@ -110,9 +110,9 @@
 	if err != nil {
 		return bluebellhold.Config{}, err
 	}
-	client := platform.NewClient(platform.ClientConfig{Address: s.Platform, Instance: s.Name})
+	client := store.NewClient(store.ClientConfig{Address: s.Platform, Instance: s.Name})
 	config := bluebellhold.Config{
-		Self: platform.Member{
+		Self: store.Member{
 			Instance: s.Name, Region: s.Region, DataCentre: s.DataCentre, Caller: s.Caller, Peer: s.Peer,
 		},
 		Operator:   s.Operator,
--- a/internal/operator/error.go
+++ b/internal/operator/error.go
@@ -11,7 +11,7 @@
 
 	"bluebellhold/id"
 	"bluebellhold/note"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // ConflictError reports a note that lost to another one; Epoch is the epoch it lost to.
@@ -151,7 +151,7 @@
 	var conflict *ConflictError
 	var unavailable *UnavailableError
 	var absent *NotFoundError
-	var store *platform.UnavailableError
+	var store *store.UnavailableError
 	switch {
 	case errors.As(err, &conflict):
 		r := refusal("conflict", NotRun, err)
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -19,7 +19,7 @@
 	"bluebellhold/internal/operator"
 	"bluebellhold/internal/settings"
 	"bluebellhold/note"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // backend answers every call with err, after running act.
@@ -140,7 +140,7 @@
 		{&operator.ConflictError{Epoch: 9}, 409, "conflict", operator.NotRun, 0, ""},
 		{&operator.UnavailableError{Outcome: operator.NotRun, After: time.Second}, 503, "unavailable", operator.NotRun, 1000, ""},
 		{&operator.UnavailableError{}, 503, "unavailable", operator.Unknown, 0, ""},
-		{&platform.UnavailableError{Call: "transact"}, 503, "unavailable", operator.Unknown, 500, ""},
+		{&store.UnavailableError{Call: "transact"}, 503, "unavailable", operator.Unknown, 500, ""},
 		{&operator.NotFoundError{Kind: "service", Name: "x"}, 404, "absent", operator.NotRun, 0, ""},
 		{context.DeadlineExceeded, 504, "late", operator.Unknown, 500, ""},
 		{merry.Wrap(&operator.ConflictError{Epoch: 9}, merry.PrependMessage("instance")), 409, "conflict", operator.NotRun, 0, ""},
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -10,7 +10,7 @@
 
 	"bluebellhold/id"
 	"bluebellhold/internal/wire"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // Node keeps the sessions of one instance. It is safe for concurrent use.
@@ -67,7 +67,7 @@
 // SetPeers sets which instances the node dials.
 //
 // A session with an instance that is not among them stays while it lives but is not re-established from this side.
-func (n *Node) SetPeers(members []platform.Member) {
+func (n *Node) SetPeers(members []store.Member) {
 	n.m.Lock()
 	defer n.m.Unlock()
 	if n.closed {
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -12,7 +12,7 @@
 	"bluebellhold/id"
 	"bluebellhold/internal/peer"
 	"bluebellhold/internal/wire"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 var secret = []byte("a secret of enough bytes")
@@ -83,10 +83,10 @@
 	return false
 }
 
-func members(all ...*instance) []platform.Member {
-	var list []platform.Member
+func members(all ...*instance) []store.Member {
+	var list []store.Member
 	for _, i := range all {
-		list = append(list, platform.Member{Instance: i.name, Peer: i.Address()})
+		list = append(list, store.Member{Instance: i.name, Peer: i.Address()})
 	}
 	return list
 }
@@ -195,7 +195,7 @@
 func TestFrozenPeerLosesItsSession(t *testing.T) {
 	a, b := start(t, "a", nil), start(t, "b", nil)
 	path := newRelay(t, b.Address())
-	a.SetPeers([]platform.Member{{Instance: "b", Peer: path.address()}})
+	a.SetPeers([]store.Member{{Instance: "b", Peer: path.address()}})
 	linked(t, a, b)
 	path.freeze()
 	eventually(t, func() bool { return !a.connected(b) && !b.connected(a) }, "keepalive ends the session")
--- a/internal/peer/stranger_test.go
+++ b/internal/peer/stranger_test.go
@@ -16,7 +16,7 @@
 
 	"bluebellhold/id"
 	"bluebellhold/internal/peer"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // Guards against a stranger without the secret who joins, whichever side dials.
@@ -34,7 +34,7 @@
 func TestReplayIsRefused(t *testing.T) {
 	a, b := start(t, "a", nil), start(t, "b", nil)
 	path := newRelay(t, b.Address())
-	a.SetPeers([]platform.Member{{Instance: "b", Peer: path.address()}})
+	a.SetPeers([]store.Member{{Instance: "b", Peer: path.address()}})
 	linked(t, a, b)
 	a.Close()
 	eventually(t, func() bool { return !b.connected(a) }, "the session ends")
@@ -50,7 +50,7 @@
 // Guards against an instance that takes its own reflected handshake for a peer.
 func TestConnectionToItselfIsRefused(t *testing.T) {
 	a := start(t, "a", nil)
-	a.SetPeers([]platform.Member{{Instance: "b", Peer: newRelay(t, a.Address()).address()}})
+	a.SetPeers([]store.Member{{Instance: "b", Peer: newRelay(t, a.Address()).address()}})
 	eventually(t, func() bool { return a.count("refused") > 1 }, "refusals")
 	require.Zero(t, a.count("opened"))
 }
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"bluebellhold/id"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // Milliseconds is a duration in the settings and in the control API.
@@ -32,9 +32,9 @@
 //
 // With Probe set, only members that accept a connection at their peer address are listed.
 type Members struct {
-	List  []platform.Member `json:"list,omitempty"`
-	Probe bool              `json:"probe,omitempty"`
-	Lag   Milliseconds      `json:"lag,omitempty"`
+	List  []store.Member `json:"list,omitempty"`
+	Probe bool           `json:"probe,omitempty"`
+	Lag   Milliseconds   `json:"lag,omitempty"`
 }
 
 // Upstream configures one simulated server.
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -10,7 +10,7 @@
 
 	"bluebellhold/id"
 	"bluebellhold/internal/settings"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // Firm is the size of one user's fleet; the first region holds the platform and one instance more than the others.
@@ -117,7 +117,7 @@
 
 func (f *Fleet) add(i settings.Settings) {
 	f.Instances = append(f.Instances, i)
-	f.Standin.Members.List = append(f.Standin.Members.List, platform.Member{
+	f.Standin.Members.List = append(f.Standin.Members.List, store.Member{
 		Instance: i.Name, Region: i.Region, DataCentre: i.DataCentre, Caller: i.Caller, Peer: i.Peer,
 	})
 }
--- a/internal/standin/members.go
+++ b/internal/standin/members.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // The platform checks its members twice a second; a connection on loopback that takes longer than the timeout counts
@@ -21,15 +21,15 @@
 type members struct {
 	m       sync.Mutex
 	config  Members
-	shown   []platform.Member
-	latest  []platform.Member
+	shown   []store.Member
+	latest  []store.Member
 	pending []change
 }
 
 // change is a list that becomes visible at a time.
 type change struct {
 	at   time.Time
-	list []platform.Member
+	list []store.Member
 }
 
 // set takes the list over; without a probe it becomes visible after the lag.
@@ -44,7 +44,7 @@
 }
 
 // note queues a list that differs from the latest one; the mutex is held.
-func (l *members) note(now time.Time, list []platform.Member) {
+func (l *members) note(now time.Time, list []store.Member) {
 	if slices.Equal(list, l.latest) {
 		return
 	}
@@ -53,7 +53,7 @@
 }
 
 // visible returns the list as of now.
-func (l *members) visible(now time.Time) []platform.Member {
+func (l *members) visible(now time.Time) []store.Member {
 	l.m.Lock()
 	defer l.m.Unlock()
 	for len(l.pending) > 0 && !l.pending[0].at.After(now) {
@@ -90,7 +90,7 @@
 		group.Go(func() { live[i] = accepts(ctx, member.Peer) })
 	}
 	group.Wait()
-	var list []platform.Member
+	var list []store.Member
 	for i, member := range config.List {
 		if live[i] {
 			list = append(list, member)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -14,7 +14,7 @@
 type Server struct {
 	control  endpoint
 	platform endpoint
-	store    *store
+	store    *tableStore
 	members  *members
 	tally    *tally
 	cancel   context.CancelFunc
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -14,7 +14,7 @@
 
 	"bluebellhold/id"
 	"bluebellhold/internal/standin"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // bound is far above what any awaited change takes; it only ends a test that would hang.
@@ -186,14 +186,14 @@
 func TestPlatformFaults(t *testing.T) {
 	server, _ := start(t, 1)
 	ctx := context.Background()
-	client := func(name id.Instance) *platform.Client {
-		return platform.NewClient(platform.ClientConfig{Address: server.PlatformAddress(), Instance: name, Timeout: bound})
+	client := func(name id.Instance) *store.Client {
+		return store.NewClient(store.ClientConfig{Address: server.PlatformAddress(), Instance: name, Timeout: bound})
 	}
 	first, second := client("osrednja-1"), client("osrednja-2")
-	insert := func(name string) platform.Transaction {
-		return platform.Transaction{Conditions: []platform.Condition{{Name: name}}, Writes: []platform.Write{{Name: name}}}
+	insert := func(name string) store.Transaction {
+		return store.Transaction{Conditions: []store.Condition{{Name: name}}, Writes: []store.Write{{Name: name}}}
 	}
-	var unavailable *platform.UnavailableError
+	var unavailable *store.UnavailableError
 
 	require.NoError(t, server.Cut("osrednja-1"))
 	require.NoError(t, server.SetSlow(1))
@@ -228,7 +228,7 @@
 // Guards against a list that shows changes before the lag or keeps members whose port is closed.
 func TestMembers(t *testing.T) {
 	server, _ := start(t, 1)
-	client := platform.NewClient(platform.ClientConfig{Address: server.PlatformAddress()})
+	client := store.NewClient(store.ClientConfig{Address: server.PlatformAddress()})
 	listed := func() int {
 		list, err := client.List(context.Background())
 		require.NoError(t, err)
@@ -236,12 +236,12 @@
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	member := platform.Member{Instance: "osrednja-1", Peer: listener.Addr().String()}
-	require.NoError(t, server.SetMembers(standin.Members{List: []platform.Member{member}, Probe: true}))
+	member := store.Member{Instance: "osrednja-1", Peer: listener.Addr().String()}
+	require.NoError(t, server.SetMembers(standin.Members{List: []store.Member{member}, Probe: true}))
 	eventually(t, func() bool { return listed() == 1 })
 	require.NoError(t, listener.Close())
 	eventually(t, func() bool { return listed() == 0 })
-	require.NoError(t, server.SetMembers(standin.Members{List: []platform.Member{member}, Lag: 3600000}))
+	require.NoError(t, server.SetMembers(standin.Members{List: []store.Member{member}, Lag: 3600000}))
 	require.Zero(t, listed())
 }
 
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"bluebellhold/id"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // Down is the way in which the platform is down.
@@ -63,9 +63,9 @@
 	Lists        int64 `json:"lists"`
 }
 
-// store is the platform: a Memory with faults and counts.
-type store struct {
-	platform.Memory
+// tableStore is the platform: a Memory with faults and counts.
+type tableStore struct {
+	store.Memory
 	members *members
 	handler http.Handler
 
@@ -74,18 +74,18 @@
 	counts StoreCounts
 }
 
-func newStore(list *members) *store {
-	s := &store{members: list}
-	s.handler = platform.Handler(platform.HandlerConfig{Table: s, Objects: s, Directory: s})
+func newStore(list *members) *tableStore {
+	s := &tableStore{members: list}
+	s.handler = store.Handler(store.HandlerConfig{Table: s, Objects: s, Directory: s})
 	return s
 }
 
 // ServeHTTP applies the faults and passes the request on.
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *tableStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.m.Lock()
 	faults := s.faults
 	s.m.Unlock()
-	if slices.Contains(faults.Cut, id.Instance(r.Header.Get(platform.Header))) {
+	if slices.Contains(faults.Cut, id.Instance(r.Header.Get(store.Header))) {
 		panic(http.ErrAbortHandler)
 	}
 	if faults.Down != Up {
@@ -94,7 +94,7 @@
 	}
 	if faults.Slow > 0 {
 		// The body is read first: a caller that gives up meanwhile does not keep the write from taking effect.
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(platform.DefaultLimit)))
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(store.DefaultLimit)))
 		if err != nil {
 			panic(http.ErrAbortHandler)
 		}
@@ -105,7 +105,7 @@
 }
 
 // update changes the faults unless the result is not allowed, and returns them.
-func (s *store) update(change func(*Faults)) (Faults, error) {
+func (s *tableStore) update(change func(*Faults)) (Faults, error) {
 	s.m.Lock()
 	defer s.m.Unlock()
 	faults := s.faults
@@ -118,7 +118,7 @@
 	return faults, nil
 }
 
-func (s *store) count(add StoreCounts) {
+func (s *tableStore) count(add StoreCounts) {
 	s.m.Lock()
 	defer s.m.Unlock()
 	s.counts.Transactions += add.Transactions
@@ -131,14 +131,14 @@
 	s.counts.Lists += add.Lists
 }
 
-func (s *store) counted() StoreCounts {
+func (s *tableStore) counted() StoreCounts {
 	s.m.Lock()
 	defer s.m.Unlock()
 	return s.counts
 }
 
 // loses reports whether the answer of a committed transaction is to be dropped.
-func (s *store) loses() bool {
+func (s *tableStore) loses() bool {
 	s.m.Lock()
 	defer s.m.Unlock()
 	if s.faults.Lost == 0 {
@@ -152,7 +152,7 @@
 }
 
 // Transact applies t and then drops the connection if the answer is to be lost.
-func (s *store) Transact(ctx context.Context, t platform.Transaction) (platform.Result, error) {
+func (s *tableStore) Transact(ctx context.Context, t store.Transaction) (store.Result, error) {
 	result, err := s.Memory.Transact(ctx, t)
 	if !result.Committed {
 		s.count(StoreCounts{Transactions: 1})
@@ -166,38 +166,38 @@
 }
 
 // Read counts and reads.
-func (s *store) Read(ctx context.Context, names []string) ([]platform.Row, error) {
+func (s *tableStore) Read(ctx context.Context, names []string) ([]store.Row, error) {
 	s.count(StoreCounts{Reads: 1, Rows: int64(len(names))})
 	return s.Memory.Read(ctx, names)
 }
 
 // Scan counts and scans.
-func (s *store) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (s *tableStore) Scan(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
 	rows, err := s.Memory.Scan(ctx, prefix, after, limit)
 	s.count(StoreCounts{Scans: 1, Rows: int64(len(rows))})
 	return rows, err
 }
 
 // Put counts and stores.
-func (s *store) Put(ctx context.Context, name string, body []byte) error {
+func (s *tableStore) Put(ctx context.Context, name string, body []byte) error {
 	s.count(StoreCounts{Objects: 1})
 	return s.Memory.Put(ctx, name, body)
 }
 
 // Get counts and reads.
-func (s *store) Get(ctx context.Context, name string) ([]byte, error) {
+func (s *tableStore) Get(ctx context.Context, name string) ([]byte, error) {
 	s.count(StoreCounts{Objects: 1})
 	return s.Memory.Get(ctx, name)
 }
 
 // Delete counts and removes.
-func (s *store) Delete(ctx context.Context, name string) error {
+func (s *tableStore) Delete(ctx context.Context, name string) error {
 	s.count(StoreCounts{Objects: 1})
 	return s.Memory.Delete(ctx, name)
 }
 
 // List counts and returns the members that are visible after the lag.
-func (s *store) List(context.Context) ([]platform.Member, error) {
+func (s *tableStore) List(context.Context) ([]store.Member, error) {
 	s.count(StoreCounts{Lists: 1})
 	return s.members.visible(time.Now()), nil
 }
--- a/internal/steering/effect.go
+++ b/internal/steering/effect.go
@@ -6,7 +6,7 @@
 	"bluebellhold/claim"
 	"bluebellhold/id"
 	"bluebellhold/internal/wire"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // Effect is something that the instance must do; carrying it out takes no further decision.
@@ -62,7 +62,7 @@
 // Transact runs a transaction on the platform's table.
 type Transact struct {
 	Call        Call
-	Transaction platform.Transaction
+	Transaction store.Transaction
 }
 
 // ReadRows reads rows of the platform's table.
@@ -119,7 +119,7 @@
 
 // SetPeers tells the peer sessions which instances to connect to.
 type SetPeers struct {
-	Members []platform.Member
+	Members []store.Member
 }
 
 // Send sends a message to a peer.
--- a/internal/steering/epoch.go
+++ b/internal/steering/epoch.go
@@ -8,7 +8,7 @@
 	"bluebellhold/id"
 	"bluebellhold/internal/wire"
 	"bluebellhold/note"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // askInterval is the time between two requests for the content of the same epoch; the content of a large configuration
@@ -40,7 +40,7 @@
 
 func (e *epochs) hasConfiguration() bool { return e.current.Epoch > 0 }
 
-func parseHead(row platform.Row) (Head, bool) {
+func parseHead(row store.Row) (Head, bool) {
 	var head Head
 	if row.Version == 0 {
 		return head, true
--- a/internal/steering/event.go
+++ b/internal/steering/event.go
@@ -8,7 +8,7 @@
 	"bluebellhold/id"
 	"bluebellhold/internal/wire"
 	"bluebellhold/note"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // Event is something that happened; it is the only input of the reducer besides the time.
@@ -80,7 +80,7 @@
 
 // MembersListed reports the platform's list of instances.
 type MembersListed struct {
-	Members []platform.Member
+	Members []store.Member
 	Failed  bool
 }
 
@@ -93,7 +93,7 @@
 // HeadRead reports a read of the head row; SentAt is when the read was sent.
 type HeadRead struct {
 	SentAt time.Time
-	Row    platform.Row
+	Row    store.Row
 	Err    error
 }
 
@@ -116,7 +116,7 @@
 // TransactionDone reports the result of a Transact effect.
 type TransactionDone struct {
 	Call   Call
-	Result platform.Result
+	Result store.Result
 	Err    error
 }
 
@@ -124,7 +124,7 @@
 type RowsScanned struct {
 	Call   Call
 	SentAt time.Time
-	Rows   []platform.Row
+	Rows   []store.Row
 	Err    error
 }
 
@@ -132,7 +132,7 @@
 type RowsRead struct {
 	Call   Call
 	SentAt time.Time
-	Rows   []platform.Row
+	Rows   []store.Row
 	Err    error
 }
 
--- a/internal/steering/limits.go
+++ b/internal/steering/limits.go
@@ -8,7 +8,7 @@
 	"bluebellhold/allotment"
 	"bluebellhold/claim"
 	"bluebellhold/id"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 const (
@@ -18,7 +18,7 @@
 	leastLinkBurst id.Tokens = 1 << 20
 )
 
-func ledgerMember(m platform.Member, live bool) allotment.Member {
+func ledgerMember(m store.Member, live bool) allotment.Member {
 	return allotment.Member{Instance: m.Instance, Region: m.Region, Address: m.Peer, Live: live}
 }
 
--- a/internal/steering/peers.go
+++ b/internal/steering/peers.go
@@ -8,7 +8,7 @@
 	"bluebellhold/fleet"
 	"bluebellhold/id"
 	"bluebellhold/internal/wire"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // heartbeatsKept is how many unanswered heartbeats of a peer are remembered.
@@ -91,7 +91,7 @@
 // publishMembers tells the look-ups, the sessions and the ledger which instances there are.
 func (s *State) publishMembers() {
 	s.gatherCandidates()
-	var members []platform.Member
+	var members []store.Member
 	shares := []allotment.Member{ledgerMember(s.self, !s.stopping.isLeaving())}
 	for _, m := range s.view.Members() {
 		if m.Instance == s.self.Instance {
--- a/internal/steering/proposal.go
+++ b/internal/steering/proposal.go
@@ -8,7 +8,7 @@
 
 	"bluebellhold/id"
 	"bluebellhold/note"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // proposals are the release notes that operators have sent to this instance; one is worked on at a time.
@@ -31,7 +31,7 @@
 	next    *note.Compiled
 	digest  id.Digest
 	body    []byte
-	head    platform.Row
+	head    store.Row
 	retryAt time.Time
 	// written is set once the transaction may have taken effect.
 	written bool
@@ -187,9 +187,9 @@
 		return
 	}
 	p.written = true
-	s.emit(Transact{Call: s.proposalCall(p, stepCommit), Transaction: platform.Transaction{
-		Conditions: []platform.Condition{{Name: HeadRow, Version: p.head.Version}, {Name: noteRow(p.Note.ID)}},
-		Writes: []platform.Write{
+	s.emit(Transact{Call: s.proposalCall(p, stepCommit), Transaction: store.Transaction{
+		Conditions: []store.Condition{{Name: HeadRow, Version: p.head.Version}, {Name: noteRow(p.Note.ID)}},
+		Writes: []store.Write{
 			{Name: HeadRow, Value: value},
 			{Name: noteRow(p.Note.ID), Value: value},
 			{Name: ReleaseRow(p.next.Epoch), Value: value},
--- a/internal/steering/sim_test.go
+++ b/internal/steering/sim_test.go
@@ -14,7 +14,7 @@
 	"bluebellhold/id"
 	"bluebellhold/internal/steering"
 	"bluebellhold/note"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // sim runs several reducers in virtual time over one in-memory platform, with seeded delays and faults.
@@ -24,7 +24,7 @@
 	random    *rand.Rand
 	queue     actions
 	order     int
-	store     platform.Memory
+	store     store.Memory
 	nodes     []*node
 	servers   map[id.Upstream]*server
 	regions   map[string]*gauge
@@ -51,7 +51,7 @@
 // node is one instance in the simulation.
 type node struct {
 	sim    *sim
-	self   platform.Member
+	self   store.Member
 	state  *steering.State
 	dead   bool
 	frozen bool
@@ -126,10 +126,10 @@
 		cut: func(_, _ *node) bool { return false }, between: 55 * time.Millisecond,
 		refusals: map[steering.Code]int{}, replies: map[steering.Ticket]*steering.Reply{}, runs: map[string]int{}, onAdmitted: func(*call) {}, onArrival: func(*call) {},
 	}
-	var members []platform.Member
+	var members []store.Member
 	for i := range instances {
 		region := simRegions[i%len(simRegions)]
-		members = append(members, platform.Member{
+		members = append(members, store.Member{
 			Instance: id.Instance(fmt.Sprintf("%s-%d", region, i)), Region: region,
 			DataCentre: id.DataCentre(fmt.Sprintf("%s-%d", region, i%2)),
 			Caller:     fmt.Sprintf("127.0.0.1:%d", 1000+i), Peer: fmt.Sprintf("127.0.0.1:%d", 2000+i),
@@ -143,7 +143,7 @@
 }
 
 // start adds a process for the member; its ticks begin at once.
-func (s *sim) start(m platform.Member, seed uint64) *node {
+func (s *sim) start(m store.Member, seed uint64) *node {
 	n := &node{sim: s, self: m, state: steering.New(steering.Config{
 		Self: m, Incarnation: id.Incarnation(s.now.UnixNano()) + id.Incarnation(seed), Seed: seed + 1,
 	})}
@@ -256,7 +256,7 @@
 func (s *sim) platformEvent(n *node, effect steering.Effect, sentAt time.Time) steering.Event {
 	ctx := context.Background()
 	down := s.storeDown(n)
-	failure := &platform.UnavailableError{Call: "call"}
+	failure := &store.UnavailableError{Call: "call"}
 	switch e := effect.(type) {
 	case steering.Transact:
 		if down {
@@ -294,7 +294,7 @@
 	switch e := effect.(type) {
 	case steering.WriteObject:
 		if down {
-			return steering.ObjectDone{Call: e.Call, IsWrite: true, Err: &platform.UnavailableError{}}
+			return steering.ObjectDone{Call: e.Call, IsWrite: true, Err: &store.UnavailableError{}}
 		}
 		return steering.ObjectDone{Call: e.Call, IsWrite: true, Err: s.store.Put(ctx, e.Name, e.Body)}
 	case steering.ReadObject:
--- a/internal/steering/state.go
+++ b/internal/steering/state.go
@@ -10,8 +10,8 @@
 	"bluebellhold/id"
 	"bluebellhold/lookup"
 	"bluebellhold/note"
-	"bluebellhold/platform"
 	"bluebellhold/retry"
+	"bluebellhold/store"
 )
 
 const (
@@ -23,7 +23,7 @@
 
 // Config configures a State.
 type Config struct {
-	Self        platform.Member
+	Self        store.Member
 	Incarnation id.Incarnation
 	Seed        uint64
 	// QueueLength is the most requests of one class that wait for a service; zero means the queue's default.
@@ -34,7 +34,7 @@
 //
 // It is not safe for concurrent use; the instance reduces one event at a time.
 type State struct {
-	self        platform.Member
+	self        store.Member
 	incarnation id.Incarnation
 	queueLength int
 	random      *rand.Rand
--- a/platform/bench_test.go
+++ b/store/bench_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"bluebellhold/id"
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // countingConn adds the bytes of both directions to a counter.
@@ -40,19 +40,19 @@
 	const lease = `{"incarnation":1796371200000000000,"address":"10.0.0.1:1000","deadline":"2030-01-01T00:00:00Z",` +
 		`"witness":"instance-0001","serial":1000000}`
 	var bytes atomic.Int64
-	memory := &platform.Memory{}
-	var members []platform.Member
+	memory := &store.Memory{}
+	var members []store.Member
 	for i := range 42 {
 		name := strconv.Itoa(1000 + i)
-		members = append(members, platform.Member{
+		members = append(members, store.Member{
 			Instance: id.Instance("instance-" + name), Region: "region-07", DataCentre: "region-07-3",
 			Caller: "10.0.0.1:" + name, Peer: "10.0.1.1:" + name,
 		})
 	}
 	memory.SetMembers(members)
-	server := httptest.NewServer(platform.Handler(platform.HandlerConfig{Table: memory, Objects: memory, Directory: memory}))
+	server := httptest.NewServer(store.Handler(store.HandlerConfig{Table: memory, Objects: memory, Directory: memory}))
 	defer server.Close()
-	client := platform.NewClient(platform.ClientConfig{Address: server.URL, HTTP: &http.Client{Transport: &http.Transport{
+	client := store.NewClient(store.ClientConfig{Address: server.URL, HTTP: &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := new(net.Dialer).DialContext(ctx, network, address)
 			return countingConn{conn, &bytes}, err
@@ -61,9 +61,9 @@
 	ctx := context.Background()
 	var version uint64
 	renew := func() {
-		result, err := client.Transact(ctx, platform.Transaction{
-			Conditions: []platform.Condition{{Name: "lease/instance-1000", Version: version}},
-			Writes:     []platform.Write{{Name: "lease/instance-1000", Value: []byte(lease)}},
+		result, err := client.Transact(ctx, store.Transaction{
+			Conditions: []store.Condition{{Name: "lease/instance-1000", Version: version}},
+			Writes:     []store.Write{{Name: "lease/instance-1000", Value: []byte(lease)}},
 		})
 		require.NoError(b, err)
 		version = result.Rows[0].Version
--- a/platform/check.go
+++ b/store/check.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"strconv"
@@ -54,7 +54,7 @@
 
 // Error describes the mismatch.
 func (e *AnswerError) Error() string {
-	return "platform: answer does not fit the call: " + e.Reason
+	return "store: answer does not fit the call: " + e.Reason
 }
 
 // StatusError reports an answer with a status other than 200.
@@ -66,7 +66,7 @@
 // Error shows the status and the start of the body.
 func (e *StatusError) Error() string {
 	const shown = 200
-	return "platform: status " + strconv.Itoa(e.Status) + ": " + strings.TrimSpace(e.Body[:min(len(e.Body), shown)])
+	return "store: status " + strconv.Itoa(e.Status) + ": " + strings.TrimSpace(e.Body[:min(len(e.Body), shown)])
 }
 
 // SizeError reports an answer that is larger than the limit.
@@ -76,5 +76,5 @@
 
 // Error shows the limit.
 func (e *SizeError) Error() string {
-	return "platform: answer is larger than " + strconv.FormatInt(int64(e.Limit), 10) + " bytes"
+	return "store: answer is larger than " + strconv.FormatInt(int64(e.Limit), 10) + " bytes"
 }
--- a/platform/client_test.go
+++ b/store/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // losses are the ways in which an answer is lost after the write took effect.
@@ -44,9 +44,9 @@
 	for name, lose := range losses {
 		t.Run(name, func(t *testing.T) {
 			ctx := context.Background()
-			var memory platform.Memory
+			var memory store.Memory
 			var calls atomic.Int64
-			handler := platform.Handler(platform.HandlerConfig{Table: &memory})
+			handler := store.Handler(store.HandlerConfig{Table: &memory})
 			client := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				if r.URL.Path != "/table/transact" {
 					handler.ServeHTTP(w, r)
@@ -56,11 +56,11 @@
 				answer := httptest.NewRecorder()
 				handler.ServeHTTP(answer, r)
 				lose(w, r, answer)
-			}), platform.ClientConfig{Timeout: 300 * time.Millisecond, Limit: 2048})
+			}), store.ClientConfig{Timeout: 300 * time.Millisecond, Limit: 2048})
 			_, err := client.Read(ctx, []string{"warm"})
 			require.NoError(t, err)
-			_, err = client.Transact(ctx, platform.Transaction{Writes: []platform.Write{{Name: "a", Value: []byte("mine")}}})
-			var unavailable *platform.UnavailableError
+			_, err = client.Transact(ctx, store.Transaction{Writes: []store.Write{{Name: "a", Value: []byte("mine")}}})
+			var unavailable *store.UnavailableError
 			require.ErrorAs(t, err, &unavailable)
 			require.True(t, unavailable.Unknown)
 			require.ErrorContains(t, err, "effect unknown")
@@ -78,14 +78,14 @@
 	require.NoError(t, err)
 	require.NoError(t, closed.Close())
 	garbled := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"rows":[`)) })
-	clients := map[string]*platform.Client{
-		"refused": platform.NewClient(platform.ClientConfig{Address: closed.Addr().String()}),
-		"garbled": serve(t, garbled, platform.ClientConfig{}),
-		"address": platform.NewClient(platform.ClientConfig{Address: "http://bad host"}),
+	clients := map[string]*store.Client{
+		"refused": store.NewClient(store.ClientConfig{Address: closed.Addr().String()}),
+		"garbled": serve(t, garbled, store.ClientConfig{}),
+		"address": store.NewClient(store.ClientConfig{Address: "http://bad host"}),
 	}
 	for name, client := range clients {
 		ctx := context.Background()
-		_, transact := client.Transact(ctx, platform.Transaction{})
+		_, transact := client.Transact(ctx, store.Transaction{})
 		_, read := client.Read(ctx, []string{"a"})
 		_, scan := client.Scan(ctx, "", "", 1)
 		_, list := client.List(ctx)
@@ -95,7 +95,7 @@
 			failures = append(failures, get, client.Put(ctx, "a", nil), client.Delete(ctx, "a"))
 		}
 		for _, failure := range failures {
-			var unavailable *platform.UnavailableError
+			var unavailable *store.UnavailableError
 			require.ErrorAs(t, failure, &unavailable, name)
 		}
 	}
@@ -103,9 +103,9 @@
 
 // Guards against an object that is cut at the size limit and passes for the whole.
 func TestObjectAboveLimit(t *testing.T) {
-	client := serve(t, platform.Handler(platform.HandlerConfig{}), platform.ClientConfig{Limit: 64})
+	client := serve(t, store.Handler(store.HandlerConfig{}), store.ClientConfig{Limit: 64})
 	ctx := context.Background()
-	var large *platform.SizeError
+	var large *store.SizeError
 	for size, name := range map[int]string{64: "fits", 65: "large"} {
 		require.NoError(t, client.Put(ctx, name, make([]byte, size)))
 	}
@@ -120,7 +120,7 @@
 func TestContextDeadline(t *testing.T) {
 	client := serve(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		<-r.Context().Done()
-	}), platform.ClientConfig{Timeout: time.Hour})
+	}), store.ClientConfig{Timeout: time.Hour})
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
 	defer cancel()
 	_, err := client.List(ctx)
@@ -130,7 +130,7 @@
 // Guards against a new connection per call, each of which costs a round trip.
 func TestConnectionReuse(t *testing.T) {
 	var opened atomic.Int64
-	server := httptest.NewUnstartedServer(platform.Handler(platform.HandlerConfig{}))
+	server := httptest.NewUnstartedServer(store.Handler(store.HandlerConfig{}))
 	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 		if state == http.StateNew {
 			opened.Add(1)
@@ -138,7 +138,7 @@
 	}
 	server.Start()
 	defer server.Close()
-	client := platform.NewClient(platform.ClientConfig{Address: server.URL})
+	client := store.NewClient(store.ClientConfig{Address: server.URL})
 	defer client.Close()
 	ctx := context.Background()
 	for range 10 {
--- a/platform/conformance_test.go
+++ b/store/conformance_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -12,35 +12,35 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
-type store interface {
-	platform.Table
-	platform.Objects
-	platform.Directory
+type backing interface {
+	store.Table
+	store.Objects
+	store.Directory
 }
 
 // eachStore runs check against Memory itself and against a Client and a Handler in front of a Memory.
-func eachStore(t *testing.T, check func(t *testing.T, memory *platform.Memory, s store)) {
+func eachStore(t *testing.T, check func(t *testing.T, memory *store.Memory, s backing)) {
 	t.Helper()
 	t.Run("memory", func(t *testing.T) {
-		var memory platform.Memory
+		var memory store.Memory
 		check(t, &memory, &memory)
 	})
 	t.Run("client", func(t *testing.T) {
-		var memory platform.Memory
-		handler := platform.Handler(platform.HandlerConfig{Table: &memory, Objects: &memory, Directory: &memory})
-		check(t, &memory, serve(t, handler, platform.ClientConfig{}))
+		var memory store.Memory
+		handler := store.Handler(store.HandlerConfig{Table: &memory, Objects: &memory, Directory: &memory})
+		check(t, &memory, serve(t, handler, store.ClientConfig{}))
 	})
 }
 
-func serve(t *testing.T, handler http.Handler, config platform.ClientConfig) *platform.Client {
+func serve(t *testing.T, handler http.Handler, config store.ClientConfig) *store.Client {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
 	config.Address = server.URL
-	client := platform.NewClient(config)
+	client := store.NewClient(config)
 	t.Cleanup(client.Close)
 	return client
 }
@@ -49,9 +49,9 @@
 // absent object.
 func TestObjects(t *testing.T) {
 	names := []string{"epoch/1-ab", "epoch/1-ab/", "epoch%2F1-ab", "a//b", "..", ".", "č ž?x=1#y", "a+b", "a b"}
-	eachStore(t, func(t *testing.T, _ *platform.Memory, s store) {
+	eachStore(t, func(t *testing.T, _ *store.Memory, s backing) {
 		ctx := context.Background()
-		var missing *platform.NotFoundError
+		var missing *store.NotFoundError
 		for _, name := range names {
 			_, err := s.Get(ctx, name)
 			require.ErrorAs(t, err, &missing)
@@ -68,17 +68,17 @@
 		_, err := s.Get(ctx, names[0])
 		require.ErrorAs(t, err, &missing)
 	})
-	var unavailable *platform.UnavailableError
-	_, err := serve(t, http.NotFoundHandler(), platform.ClientConfig{}).Get(context.Background(), "a")
+	var unavailable *store.UnavailableError
+	_, err := serve(t, http.NotFoundHandler(), store.ClientConfig{}).Get(context.Background(), "a")
 	require.ErrorAs(t, err, &unavailable)
 }
 
 // Guards against members that lose a field on their way through the list.
 func TestList(t *testing.T) {
-	members := []platform.Member{{
+	members := []store.Member{{
 		Instance: "osrednja-1", Region: "osrednja", DataCentre: "osrednja-a", Caller: "127.0.0.1:1", Peer: "127.0.0.1:2",
 	}, {Instance: "puget-1", Leaving: true}}
-	eachStore(t, func(t *testing.T, memory *platform.Memory, s store) {
+	eachStore(t, func(t *testing.T, memory *store.Memory, s backing) {
 		memory.SetMembers(members)
 		listed, err := s.List(context.Background())
 		require.NoError(t, err)
@@ -88,15 +88,15 @@
 
 // naive is the table as a plain map; it keeps the highest version seen of each name across deletes.
 type naive struct {
-	rows    map[string]platform.Row
+	rows    map[string]store.Row
 	highest map[string]uint64
 }
 
-func (n *naive) holds(conditions []platform.Condition) bool {
-	return !slices.ContainsFunc(conditions, func(c platform.Condition) bool { return n.rows[c.Name].Version != c.Version })
+func (n *naive) holds(conditions []store.Condition) bool {
+	return !slices.ContainsFunc(conditions, func(c store.Condition) bool { return n.rows[c.Name].Version != c.Version })
 }
 
-func (n *naive) write(t *rapid.T, w platform.Write, row platform.Row) {
+func (n *naive) write(t *rapid.T, w store.Write, row store.Row) {
 	require.Equal(t, w.Name, row.Name)
 	if w.Delete {
 		require.Zero(t, row.Version)
@@ -109,8 +109,8 @@
 	n.rows[w.Name] = row
 }
 
-func (n *naive) scan(prefix, after string, limit int) []platform.Row {
-	var rows []platform.Row
+func (n *naive) scan(prefix, after string, limit int) []store.Row {
+	var rows []store.Row
 	for _, name := range slices.Sorted(maps.Keys(n.rows)) {
 		if strings.HasPrefix(name, prefix) && name > after && len(rows) < limit {
 			rows = append(rows, n.rows[name])
@@ -120,15 +120,15 @@
 }
 
 // current returns the rows of the names as Read returns them.
-func (n *naive) current(names []string) []platform.Row {
-	var rows []platform.Row
+func (n *naive) current(names []string) []store.Row {
+	var rows []store.Row
 	for _, name := range names {
-		rows = append(rows, platform.Row{Name: name, Version: n.rows[name].Version, Value: n.rows[name].Value})
+		rows = append(rows, store.Row{Name: name, Version: n.rows[name].Version, Value: n.rows[name].Value})
 	}
 	return rows
 }
 
-func requireRows(t *rapid.T, want, got []platform.Row) {
+func requireRows(t *rapid.T, want, got []store.Row) {
 	require.Len(t, got, len(want))
 	for i := range want {
 		require.Equal(t, want[i].Name, got[i].Name)
@@ -141,23 +141,23 @@
 func TestTableAgainstNaiveMap(t *testing.T) {
 	names := []string{"a", "a/1", "a/2", "b/č%2F", "b/<&>", ""}
 	name := rapid.SampledFrom(names)
-	eachStore(t, func(t *testing.T, _ *platform.Memory, s store) {
+	eachStore(t, func(t *testing.T, _ *store.Memory, s backing) {
 		ctx := context.Background()
 		rapid.Check(t, func(t *rapid.T) {
-			model := naive{rows: map[string]platform.Row{}, highest: map[string]uint64{}}
+			model := naive{rows: map[string]store.Row{}, highest: map[string]uint64{}}
 			for _, n := range names {
-				_, err := s.Transact(ctx, platform.Transaction{Writes: []platform.Write{{Name: n, Delete: true}}})
+				_, err := s.Transact(ctx, store.Transaction{Writes: []store.Write{{Name: n, Delete: true}}})
 				require.NoError(t, err)
 			}
-			condition := rapid.Custom(func(t *rapid.T) platform.Condition {
-				c := platform.Condition{Name: name.Draw(t, "name")}
+			condition := rapid.Custom(func(t *rapid.T) store.Condition {
+				c := store.Condition{Name: name.Draw(t, "name")}
 				if c.Version = model.rows[c.Name].Version; rapid.IntRange(0, 9).Draw(t, "stale") == 0 {
 					c.Version = model.highest[c.Name]
 				}
 				return c
 			})
-			write := rapid.Custom(func(t *rapid.T) platform.Write {
-				w := platform.Write{Name: name.Draw(t, "name"), Delete: rapid.IntRange(0, 3).Draw(t, "delete") == 0}
+			write := rapid.Custom(func(t *rapid.T) store.Write {
+				w := store.Write{Name: name.Draw(t, "name"), Delete: rapid.IntRange(0, 3).Draw(t, "delete") == 0}
 				if !w.Delete {
 					w.Value = rapid.SliceOfN(rapid.Byte(), 0, 8).Draw(t, "value")
 				}
@@ -165,7 +165,7 @@
 			})
 			t.Repeat(map[string]func(*rapid.T){
 				"transact": func(t *rapid.T) {
-					call := platform.Transaction{
+					call := store.Transaction{
 						Conditions: rapid.SliceOfN(condition, 0, 3).Draw(t, "conditions"),
 						Writes:     rapid.SliceOfN(write, 0, 4).Draw(t, "writes"),
 					}
--- a/platform/main_test.go
+++ b/store/main_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"os"
--- a/platform/memory_test.go
+++ b/store/memory_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -6,30 +6,30 @@
 
 	"github.com/stretchr/testify/require"
 
-	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // Guards against a transaction that applies some of its writes although a condition fails.
 func TestMemoryTransactIsAllOrNothing(t *testing.T) {
 	ctx := context.Background()
-	var store platform.Memory
-	first, err := store.Transact(ctx, platform.Transaction{
-		Conditions: []platform.Condition{{Name: "a"}},
-		Writes:     []platform.Write{{Name: "a", Value: []byte("1")}},
+	var memory store.Memory
+	first, err := memory.Transact(ctx, store.Transaction{
+		Conditions: []store.Condition{{Name: "a"}},
+		Writes:     []store.Write{{Name: "a", Value: []byte("1")}},
 	})
 	require.NoError(t, err)
 	require.True(t, first.Committed)
 
-	second, err := store.Transact(ctx, platform.Transaction{
-		Conditions: []platform.Condition{{Name: "b"}, {Name: "a"}},
-		Writes:     []platform.Write{{Name: "b", Value: []byte("2")}, {Name: "a", Value: []byte("3")}},
+	second, err := memory.Transact(ctx, store.Transaction{
+		Conditions: []store.Condition{{Name: "b"}, {Name: "a"}},
+		Writes:     []store.Write{{Name: "b", Value: []byte("2")}, {Name: "a", Value: []byte("3")}},
 	})
 	require.NoError(t, err)
 	require.False(t, second.Committed)
 	require.Equal(t, uint64(0), second.Rows[0].Version)
 	require.Equal(t, first.Rows[0].Version, second.Rows[1].Version)
 
-	rows, err := store.Read(ctx, []string{"a", "b"})
+	rows, err := memory.Read(ctx, []string{"a", "b"})
 	require.NoError(t, err)
 	require.Equal(t, []byte("1"), rows[0].Value)
 	require.Equal(t, uint64(0), rows[1].Version)
@@ -38,13 +38,13 @@
 // Guards against a deleted and re-inserted row passing for its predecessor in a condition.
 func TestMemoryVersionsRiseAcrossDelete(t *testing.T) {
 	ctx := context.Background()
-	var store platform.Memory
-	put := platform.Transaction{Writes: []platform.Write{{Name: "a", Value: []byte("1")}}}
-	first, err := store.Transact(ctx, put)
+	var memory store.Memory
+	put := store.Transaction{Writes: []store.Write{{Name: "a", Value: []byte("1")}}}
+	first, err := memory.Transact(ctx, put)
 	require.NoError(t, err)
-	_, err = store.Transact(ctx, platform.Transaction{Writes: []platform.Write{{Name: "a", Delete: true}}})
+	_, err = memory.Transact(ctx, store.Transaction{Writes: []store.Write{{Name: "a", Delete: true}}})
 	require.NoError(t, err)
-	second, err := store.Transact(ctx, put)
+	second, err := memory.Transact(ctx, put)
 	require.NoError(t, err)
 	require.Greater(t, second.Rows[0].Version, first.Rows[0].Version)
 }
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
@@ -87,7 +87,7 @@
 
 // Error names the object.
 func (e *NotFoundError) Error() string {
-	return "platform: object " + e.Name + " does not exist"
+	return "store: object " + e.Name + " does not exist"
 }
 
 // UnavailableError reports that the platform could not be reached, answered late or answered with a failure.
@@ -101,7 +101,7 @@
 
 // Error names the call and the cause.
 func (e *UnavailableError) Error() string {
-	text := "platform: " + e.Call + " failed"
+	text := "store: " + e.Call + " failed"
 	if e.Unknown {
 		text += ", effect unknown"
 	}
