--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,6 +36,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "read the settings from `FILE`", Required: true},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+			&cli.BoolFlag{Name: "entry", Usage: "follow the platform's store instead of release notes"},
 		},
 		Writer:         w,
 		ErrWriter:      w,
@@ -47,6 +48,9 @@
 			if c.Args().Present() {
 				return &UsageError{Text: "unknown argument " + c.Args().First()}
 			}
+			if c.Bool("entry") {
+				return runEntry(ctx, c.String("settings"), c.Bool("check"), w)
+			}
 			return run(ctx, c.String("settings"), c.Bool("check"), w)
 		},
 	}
--- /dev/null
+++ b/internal/daemon/entry.go
@@ -0,0 +1,107 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"bluebellhold/id"
+	"bluebellhold/internal/entry"
+	"bluebellhold/internal/ingress"
+	"bluebellhold/internal/settings"
+	"bluebellhold/platform"
+)
+
+const (
+	// membersTable is the instances' own table in the platform's store.
+	membersTable = "instances"
+	// heapPart is the part of the process's memory in percent that the runtime's memory limit is set to; the rest is
+	// for the sockets' buffers.
+	heapPart = 70
+	// collectAt is the growth of the heap in percent at which it is collected.
+	collectAt = 200
+)
+
+// runEntry checks the settings and, unless only the check was asked for, serves until a signal to stop.
+func runEntry(ctx context.Context, path string, checkOnly bool, w io.Writer) error {
+	s, err := settings.LoadEntry(path)
+	if err != nil {
+		return err
+	}
+	config, err := entryConfig(s)
+	if err != nil {
+		return err
+	}
+	if checkOnly {
+		_, err := fmt.Fprintln(w, "settings are valid")
+		return err
+	}
+	debug.SetMemoryLimit(int64(config.Memory) * heapPart / 100)
+	debug.SetGCPercent(collectAt)
+	instance, err := ingress.New(config)
+	if err != nil {
+		return &RunError{Cause: err}
+	}
+	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	go reloadOnSignal(ctx, path, config.Log)
+	if err := instance.Run(ctx); err != nil {
+		return &RunError{Cause: err}
+	}
+	return nil
+}
+
+func entryConfig(s settings.Entry) (ingress.Config, error) {
+	level, err := log.ParseLevel(s.Log)
+	if err != nil {
+		return ingress.Config{}, err
+	}
+	return ingress.Config{
+		Instance: s.Name, Region: s.Region, DataCentre: s.DataCentre,
+		Callers: s.Callers, Readiness: s.Ready, Lookups: s.Lookup, Metrics: s.Metrics,
+		Bounds: entryBounds(s.Bounds), Memory: id.Bytes(s.Memory) << 20,
+		Feed:    platform.NewStore(s.Store),
+		Tables:  ingress.Tables{Operator: platform.OperatorTable, Upstreams: platform.ServersTable, Members: membersTable},
+		Headers: platform.Headers{}, Decoder: platform.Rows{Regions: s.Regions}, Control: platform.Control,
+		Log: log.NewWithOptions(os.Stdout, log.Options{Level: level, ReportTimestamp: false, Formatter: log.LogfmtFormatter}),
+	}, nil
+}
+
+func entryBounds(b settings.Bounds) entry.Bounds {
+	return entry.Bounds{
+		RetryRatio: b.Retries.Ratio, RetryExtra: b.Retries.Extra, RetryWindow: time.Duration(b.Retries.Window),
+		RateWindow: time.Duration(b.Rates.Window), RateExcess: b.Rates.Excess, RateSlack: b.Rates.Slack,
+		ColdExcess: b.Cold.Excess, ColdSlack: b.Cold.Slack, Shift: b.Shift,
+		Grace: time.Duration(b.Grace), LookupTTL: time.Duration(b.TTL),
+	}
+}
+
+// reloadOnSignal checks the settings again when a signal says that they have changed. Addresses and bounds are fixed
+// for the life of a process, so only the log level takes effect.
+func reloadOnSignal(ctx context.Context, path string, l *log.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	for {
+		select {
+		case <-signals:
+		case <-ctx.Done():
+			return
+		}
+		s, err := settings.LoadEntry(path)
+		if err != nil {
+			l.Error("settings: not reloaded; the last good ones stay in force", "error", err)
+			continue
+		}
+		if level, err := log.ParseLevel(s.Log); err == nil {
+			l.SetLevel(level)
+		}
+		l.Info("settings: reloaded")
+	}
+}
--- /dev/null
+++ b/internal/entry/configuration.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"bluebellhold/admission"
+	"bluebellhold/allotment"
+	"bluebellhold/id"
+)
+
+// Configuration is the operator's document in the terms of this package.
+type Configuration struct {
+	Version       uint64
+	Routes        []Route
+	Services      map[id.Service]Service
+	Organisations map[id.Organisation]Organisation
+	// Keys maps the digest of each key to its organisation.
+	Keys   map[id.Digest]id.Organisation
+	Limits CallerLimits
+}
+
+// Route says how requests to a host below a path prefix are handled.
+type Route struct {
+	ID     id.Route
+	Host   string
+	Prefix string
+	// Targets are the services that share the route's requests by weight.
+	Targets []Target
+	// Idempotent is set if a request may run more than once.
+	Idempotent bool
+	// Timeout is the longest time that a request is kept waiting for its answer.
+	Timeout time.Duration
+	// Objective is the time within which an answer is fully useful.
+	Objective time.Duration
+	Rank      int
+	// Attempts is the largest number of upstreams that one request may run on.
+	Attempts int
+	// Open routes need no key.
+	Open bool
+	// Sticky is set if upstreams serve objects faster that they have handled lately.
+	Sticky bool
+	// Regions are the only ones that may serve the route; empty means all.
+	Regions []id.Region
+}
+
+// Target is one service of a route.
+type Target struct {
+	Service id.Service
+	Weight  float64
+}
+
+// Service describes the upstreams of a service in general.
+type Service struct {
+	// Connections is how many connections an upstream accepts from all instances together.
+	Connections int
+	// ColdRate is how many requests per second a cold upstream tolerates.
+	ColdRate float64
+}
+
+// Organisation is a tenant with its limit.
+type Organisation struct {
+	Rank    int
+	Rate    id.TokensPerSecond
+	Burst   id.Tokens
+	Regions []id.Region
+}
+
+// CallerLimits bound what a caller may send and how long it may take.
+type CallerLimits struct {
+	Header        id.Bytes
+	Body          id.Bytes
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Bounds are the fleet-wide promises that the operator's settings state.
+type Bounds struct {
+	// RetryRatio and RetryExtra bound second sends per RetryWindow, summed over all instances.
+	RetryRatio  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+	// RateWindow is the span over which an organisation's limit is judged; the sum may exceed rate and burst by the
+	// part RateExcess and RateSlack requests.
+	RateWindow time.Duration
+	RateExcess float64
+	RateSlack  float64
+	// ColdExcess and ColdSlack are what a cold upstream tolerates beyond its rate.
+	ColdExcess float64
+	ColdSlack  float64
+	// Shift is the largest part of a region's requests that may change the region they run in between two windows.
+	Shift float64
+	// Grace is the time between the signal to stop and the end of the process.
+	Grace time.Duration
+	// LookupTTL is the longest time that a look-up's answer may be kept.
+	LookupTTL time.Duration
+}
+
+// margin is the part of a fleet-wide bound that instances spend. The rest covers requests that arrive closer together
+// than they were sent and instances that count different members for a moment.
+const margin = 0.9
+
+// burstPart is the part of a window that may be spent at once; a larger one leaves too little for an even flow.
+const burstPart = 0.3
+
+// rateWindow returns the window that binds an organisation.
+func (b Bounds) rateWindow(o Organisation) allotment.Window {
+	most := (float64(o.Rate)*b.RateWindow.Seconds()+float64(o.Burst))*(1+b.RateExcess*margin) + b.RateSlack*margin
+	return allotment.Window{Most: id.Tokens(most), Span: b.RateWindow, Burst: id.Tokens(most * burstPart)}
+}
+
+// coldWindow returns the window that binds a cold upstream of a service.
+func (b Bounds) coldWindow(s Service) allotment.Window {
+	most := id.Tokens((s.ColdRate*b.ColdExcess + b.ColdSlack) * margin)
+	return allotment.Window{Most: most, Span: time.Second, Burst: most / 2}
+}
+
+// hosts maps a host to its routes, the longest prefix first.
+type hosts map[string][]*Route
+
+func newHosts(routes []Route) hosts {
+	out := make(hosts)
+	for i := range routes {
+		r := &routes[i]
+		out[r.Host] = append(out[r.Host], r)
+	}
+	for _, list := range out {
+		slices.SortFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return out
+}
+
+// match returns the route of a host with the longest prefix of the path, or nil.
+func (h hosts) match(host, path string) *Route {
+	for _, r := range h[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+func rankOf(o Organisation, r *Route) admission.Rank {
+	return admission.Rank{Organisation: o.Rank, Route: r.Rank}
+}
--- /dev/null
+++ b/internal/entry/dispatch.go
@@ -0,0 +1,160 @@
+package entry
+
+import (
+	"time"
+
+	"bluebellhold/placement"
+)
+
+// pumpAll starts what can start at all services.
+func (s *State) pumpAll() {
+	for _, name := range s.names {
+		s.pump(s.services[name])
+	}
+}
+
+// pumpLimit bounds the waiting requests that are tried in one go; later ones find no room either when so many did not.
+const pumpLimit = 32
+
+// pump starts waiting requests, the most urgent first, until none finds room.
+func (s *State) pump(svc *service) {
+	if svc.line.Len() == 0 {
+		return
+	}
+	var started []*request
+	for i, w := range svc.line.Order(s.now) {
+		if i >= pumpLimit {
+			break
+		}
+		r := s.requests[w.Request]
+		if r == nil {
+			continue
+		}
+		choice, ok := svc.chooser.Choose(s.now, r.want)
+		if ok && choice.HasRoom {
+			s.start(r, choice)
+			started = append(started, r)
+		}
+	}
+	for _, r := range started {
+		svc.line.Remove(r.id)
+	}
+}
+
+// start dispatches a request to the chosen upstream.
+func (s *State) start(r *request, choice placement.Choice) {
+	u := s.upstreams[choice.Upstream]
+	r.stage = stageRunning
+	r.choice = choice
+	r.sends++
+	s.counts.Started++
+	r.service.line.Started(s.now)
+	r.service.chooser.Start(s.now, choice)
+	s.emit(Dispatch{
+		Request: r.id, Organisation: r.organisation, Service: r.service.id, Upstream: u.ID, Incarnation: u.Incarnation,
+		Address: u.Address, Deadline: r.deadline, Idempotent: r.route.Idempotent,
+	})
+}
+
+func (s *State) connected(e Connected) {
+	r := s.requests[e.Request]
+	if r == nil {
+		return
+	}
+	if u, ok := s.upstreams[r.choice.Upstream]; ok {
+		r.service.chooser.Connected(u.Region, e.Took)
+	}
+}
+
+// attemptEnded records the outcome and decides whether the request is answered, sent again or refused.
+func (s *State) attemptEnded(e AttemptEnded) {
+	r := s.requests[e.Request]
+	if r == nil || r.stage != stageRunning {
+		return
+	}
+	svc := r.service
+	svc.chooser.End(s.now, r.choice, r.want, outcome(e.Ending))
+	switch ending := e.Ending.(type) {
+	case Answered:
+		r.mayHaveRun++
+		s.answered(r, ending)
+	case Rejected, Misdirected:
+		s.counts.Rejected++
+		s.again(r, Refusal{Code: CodeBusy})
+	case Unsent:
+		s.again(r, Refusal{Code: CodeUpstreams})
+	case Broken:
+		r.mayHaveRun++
+		s.counts.Broken++
+		s.broken(r, ending.Forwarded)
+	case TimedOut:
+		r.mayHaveRun++
+		s.counts.TimedOut++
+		s.refuse(r, Refusal{Code: CodeTimeout})
+	case Cancelled:
+		r.mayHaveRun++
+		s.refuse(r, Refusal{Code: CodeTimeout})
+	}
+	s.pump(svc)
+}
+
+// outcome translates an ending into what it says about the upstream.
+func outcome(e Ending) placement.Outcome {
+	switch e := e.(type) {
+	case Answered:
+		return placement.Served{Elapsed: e.Elapsed, Size: e.Size, Load: e.Load}
+	case Rejected:
+		return placement.Shed{Load: e.Load}
+	case Misdirected:
+		return placement.Misdirected{}
+	case Unsent:
+		if e.Stale {
+			return placement.Abandoned{}
+		}
+		return placement.Unreached{}
+	case Broken:
+		return placement.Broken{}
+	case TimedOut:
+		return placement.Overdue{Elapsed: e.Elapsed}
+	default:
+		return placement.Abandoned{}
+	}
+}
+
+func (s *State) answered(r *request, a Answered) {
+	s.counts.Answered++
+	if o := s.organisations[r.organisation]; o != nil {
+		o.served++
+	}
+	delete(s.requests, r.id)
+	s.emit(Deliver{Request: r.id})
+}
+
+func (s *State) broken(r *request, forwarded bool) {
+	if forwarded || !r.route.Idempotent || r.mayHaveRun >= max(r.route.Attempts, 1) {
+		s.refuse(r, Refusal{Code: CodeBroken})
+		return
+	}
+	s.again(r, Refusal{Code: CodeBroken})
+}
+
+// leastRetryTime is the time to the deadline below which another send is pointless.
+const leastRetryTime = 50 * time.Millisecond
+
+// again sends a request to another upstream if the budget, the deadline and the caller allow it.
+func (s *State) again(r *request, refusal Refusal) {
+	r.want.Avoid = append(r.want.Avoid, r.choice.Upstream)
+	r.stage = stageWaiting
+	switch {
+	case r.isGone, r.deadline.Sub(s.now) < leastRetryTime, s.isStopping && r.mayHaveRun == 0 && r.sends > maxSends,
+		r.sends > maxSends, !r.service.budget.Take(s.now):
+		refusal.After = r.service.line.Return(s.now, s.random.Float64())
+		s.refuse(r, refusal)
+		return
+	}
+	s.counts.Second++
+	s.admit(r)
+}
+
+// maxSends bounds the sends of one request that upstreams rejected without running it.
+const maxSends = 4
--- /dev/null
+++ b/internal/entry/dump.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"time"
+
+	"bluebellhold/id"
+)
+
+// Dump is the state of an instance without secrets.
+type Dump struct {
+	Version   uint64                   `json:"version"`
+	Ready     bool                     `json:"ready"`
+	Counts    Counts                   `json:"counts"`
+	Members   []id.Instance            `json:"members"`
+	Evacuated []id.DataCentre          `json:"evacuated"`
+	Services  map[id.Service]DumpQueue `json:"services"`
+}
+
+// DumpQueue is one service in a Dump.
+type DumpQueue struct {
+	Waiting   int `json:"waiting"`
+	Upstreams int `json:"upstreams"`
+}
+
+// Dump returns the state at the time now.
+func (s *State) Dump(_ time.Time) Dump {
+	d := Dump{
+		Version: s.current.Version, Ready: s.IsReady(), Counts: s.counts, Members: s.members.names(),
+		Services: make(map[id.Service]DumpQueue, len(s.services)),
+	}
+	for name := range s.evacuated {
+		d.Evacuated = append(d.Evacuated, name)
+	}
+	for name, svc := range s.services {
+		n := 0
+		for _, u := range s.upstreams {
+			if u.Service == name {
+				n++
+			}
+		}
+		d.Services[name] = DumpQueue{Waiting: svc.line.Len(), Upstreams: n}
+	}
+	return d
+}
--- /dev/null
+++ b/internal/entry/effect.go
@@ -0,0 +1,102 @@
+package entry
+
+import (
+	"time"
+
+	"bluebellhold/id"
+)
+
+// Effect is something that the shell must do; carrying it out takes no further decision.
+type Effect interface{ isEffect() }
+
+// RequestEffect is an effect that belongs to one request.
+type RequestEffect interface {
+	Effect
+	RequestID() id.Request
+}
+
+// Dispatch sends a request to an upstream; the attempt is ended at Deadline.
+type Dispatch struct {
+	Request      id.Request
+	Organisation id.Organisation
+	Service      id.Service
+	Upstream     id.Upstream
+	Incarnation  id.Incarnation
+	Address      string
+	Deadline     time.Time
+	// Idempotent requests may use a connection that has been idle.
+	Idempotent bool
+	// Last is set if the answer of this attempt is final whatever it is.
+	Last bool
+}
+
+// Refuse answers a request without running it further.
+type Refuse struct {
+	Request id.Request
+	Refusal Refusal
+}
+
+// Deliver lets the answer that the attempt has got go to the caller.
+type Deliver struct {
+	Request id.Request
+}
+
+// Cancel ends a request's running attempt.
+type Cancel struct {
+	Request id.Request
+}
+
+func (Dispatch) isEffect() {}
+func (Refuse) isEffect()   {}
+func (Deliver) isEffect()  {}
+func (Cancel) isEffect()   {}
+
+// RequestID returns the request.
+func (e Dispatch) RequestID() id.Request { return e.Request }
+
+// RequestID returns the request.
+func (e Refuse) RequestID() id.Request { return e.Request }
+
+// RequestID returns the request.
+func (e Deliver) RequestID() id.Request { return e.Request }
+
+// RequestID returns the request.
+func (e Cancel) RequestID() id.Request { return e.Request }
+
+// Code says why a request was refused.
+type Code string
+
+// The codes of refusals.
+const (
+	// CodeStarting means that no configuration is known yet.
+	CodeStarting Code = "starting"
+	// CodeRoute means that no route matches.
+	CodeRoute Code = "route"
+	// CodeKey means that the key is missing or unknown.
+	CodeKey Code = "key"
+	// CodeRate means that the organisation is beyond its rate.
+	CodeRate Code = "rate"
+	// CodeBusy means that the request could not be started in time.
+	CodeBusy Code = "busy"
+	// CodeUpstreams means that no allowed upstream is there.
+	CodeUpstreams Code = "upstreams"
+	// CodeTimeout means that the deadline passed while an upstream had the request.
+	CodeTimeout Code = "timeout"
+	// CodeBroken means that the upstream failed after the request was sent.
+	CodeBroken Code = "broken"
+	// CodeBody means that the body was too large or broke off.
+	CodeBody Code = "body"
+	// CodeHeader means that the header was too large.
+	CodeHeader Code = "header"
+	// CodeStopping means that the instance is about to end.
+	CodeStopping Code = "stopping"
+)
+
+// Refusal explains why a request is answered without an upstream's answer.
+type Refusal struct {
+	Code Code
+	// Ran is set if an upstream may have run the request, so that no promise can be made.
+	Ran bool
+	// After is when it makes sense to come back; zero means at any time.
+	After time.Time
+}
--- /dev/null
+++ b/internal/entry/event.go
@@ -0,0 +1,152 @@
+package entry
+
+import (
+	"time"
+
+	"bluebellhold/id"
+	"bluebellhold/placement"
+)
+
+// Event is something that happened; it is the only input of the reducer besides the time.
+type Event interface{ isEvent() }
+
+// Configured reports the operator's newest document.
+type Configured struct {
+	Configuration Configuration
+}
+
+// Upstream is one entry of the list of upstreams.
+type Upstream struct {
+	ID          id.Upstream
+	Service     id.Service
+	Address     string
+	Region      id.Region
+	DataCentre  id.DataCentre
+	Slots       id.Slots
+	Incarnation id.Incarnation
+	Draining    bool
+	ColdUntil   time.Time
+}
+
+// UpstreamsListed reports the whole list of upstreams.
+type UpstreamsListed struct {
+	Upstreams []Upstream
+}
+
+// EvacuationsListed reports the data centres whose upstreams must get nothing.
+type EvacuationsListed struct {
+	DataCentres []id.DataCentre
+}
+
+// Member is another instance, or this one, as the store knows it.
+type Member struct {
+	Instance   id.Instance
+	Region     id.Region
+	DataCentre id.DataCentre
+	Address    string
+	Leaving    bool
+	// Version changes with each heartbeat.
+	Version uint64
+}
+
+// MembersListed reports the heartbeats of all instances; ReadAt is when the answer came.
+type MembersListed struct {
+	Members []Member
+}
+
+// RequestArrived reports a caller's request whose body has been read.
+type RequestArrived struct {
+	Request id.Request
+	Host    string
+	Path    string
+	Object  string
+	// Secret is the digest of the caller's key; HasSecret is false if none came.
+	Secret    id.Digest
+	HasSecret bool
+	// Patience is the time that the caller will wait from now on; zero means that it did not say.
+	Patience time.Duration
+}
+
+// CallerGone reports that the caller closed its connection.
+type CallerGone struct {
+	Request id.Request
+}
+
+// AttemptEnded reports how a dispatch ended.
+type AttemptEnded struct {
+	Request id.Request
+	Ending  Ending
+}
+
+// Connected reports how long a connection to an upstream took.
+type Connected struct {
+	Request id.Request
+	Took    time.Duration
+}
+
+// Tick reports that time has passed.
+type Tick struct{}
+
+// StopRequested reports the signal to stop.
+type StopRequested struct{}
+
+func (Configured) isEvent()        {}
+func (UpstreamsListed) isEvent()   {}
+func (EvacuationsListed) isEvent() {}
+func (MembersListed) isEvent()     {}
+func (RequestArrived) isEvent()    {}
+func (CallerGone) isEvent()        {}
+func (AttemptEnded) isEvent()      {}
+func (Connected) isEvent()         {}
+func (Tick) isEvent()              {}
+func (StopRequested) isEvent()     {}
+
+// Ending is how an attempt ended.
+type Ending interface{ isEnding() }
+
+// Answered is a whole answer of the upstream; Failed is set for the status of a server error.
+type Answered struct {
+	Status  int
+	Failed  bool
+	Elapsed time.Duration
+	Size    id.Bytes
+	Load    *placement.Load
+}
+
+// Rejected is the upstream's own word that it did not run the request.
+type Rejected struct {
+	Load *placement.Load
+}
+
+// Misdirected is the word of another upstream that it did not run the request.
+type Misdirected struct{}
+
+// Unsent is a failure before the first byte of the request was sent.
+//
+// Stale is set if only a kept connection failed, which says nothing about the upstream.
+type Unsent struct {
+	Stale bool
+}
+
+// Broken is a connection that failed, or bytes that are no answer, after the request was sent.
+type Broken struct {
+	// Forwarded is set if a part of the answer has already reached the caller.
+	Forwarded bool
+}
+
+// TimedOut is an attempt that was ended at its deadline.
+type TimedOut struct {
+	Elapsed   time.Duration
+	Forwarded bool
+}
+
+// Cancelled is an attempt that was ended because the caller went away.
+type Cancelled struct{}
+
+func (Answered) isEnding()    {}
+func (Rejected) isEnding()    {}
+func (Misdirected) isEnding() {}
+func (Unsent) isEnding()      {}
+func (Broken) isEnding()      {}
+func (TimedOut) isEnding()    {}
+func (Cancelled) isEnding()   {}
--- /dev/null
+++ b/internal/entry/members.go
@@ -0,0 +1,140 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"bluebellhold/id"
+)
+
+const (
+	// staleAfter is the time without a heartbeat after which an instance is no longer named to callers; three
+	// heartbeats of 1.5 s.
+	staleAfter = 4500 * time.Millisecond
+	// forgottenAfter is the time without a heartbeat after which an instance no longer holds a part of the limits. An
+	// instance that is cut from the store goes on spending its part, so it is much longer than an outage.
+	forgottenAfter = 5 * time.Minute
+)
+
+// members is what an instance knows about the fleet from the heartbeats in the store.
+type members struct {
+	self id.Instance
+	all  map[id.Instance]*member
+	// readAt is when the heartbeats were read last, and freshFor the time of reads since each of them changed.
+	readAt time.Time
+}
+
+type member struct {
+	Member
+	// silentFor sums the time between reads that found no new heartbeat while this instance's own was found renewed,
+	// so that an outage of the store makes nobody silent.
+	silentFor time.Duration
+}
+
+func newMembers(self id.Instance) members {
+	return members{self: self, all: make(map[id.Instance]*member)}
+}
+
+// update takes a read of the heartbeats.
+func (m *members) update(now time.Time, list []Member) {
+	passed := now.Sub(m.readAt)
+	if m.readAt.IsZero() {
+		passed = 0
+	}
+	m.readAt = now
+	isRenewed := false
+	for _, e := range list {
+		if known := m.all[e.Instance]; known == nil || known.Version != e.Version {
+			isRenewed = isRenewed || e.Instance == m.self
+			m.all[e.Instance] = &member{Member: e}
+		} else {
+			known.silentFor += passed
+		}
+	}
+	if !isRenewed {
+		m.forgive(passed)
+	}
+	m.forget(list)
+}
+
+// forgive takes back the silence of a span in which the store may not have taken heartbeats.
+func (m *members) forgive(span time.Duration) {
+	own := m.all[m.self]
+	if own != nil && own.silentFor <= 2*span {
+		return
+	}
+	for _, e := range m.all {
+		e.silentFor = max(e.silentFor-span, 0)
+	}
+}
+
+func (m *members) forget(list []Member) {
+	for name, e := range m.all {
+		isListed := slices.ContainsFunc(list, func(l Member) bool { return l.Instance == name })
+		if !isListed || e.silentFor > forgottenAfter {
+			delete(m.all, name)
+		}
+	}
+}
+
+// count returns the number of instances that hold parts of the limits, this one included.
+func (m *members) count() int {
+	n := len(m.all)
+	if m.all[m.self] == nil {
+		n++
+	}
+	return n
+}
+
+// names returns the instances that hold parts, in order.
+func (m *members) names() []id.Instance {
+	names := []id.Instance{m.self}
+	for name := range m.all {
+		if name != m.self {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (m *members) isServing(e *member) bool {
+	return !e.Leaving && e.silentFor < staleAfter
+}
+
+func (s *State) listMembers(list []Member) {
+	before := s.members.names()
+	s.members.update(s.now, list)
+	if !slices.Equal(before, s.members.names()) {
+		s.shareLimits()
+	}
+}
+
+// Lookup returns the addresses that a caller in the region and data centre should use: the instances of its region
+// if there are any, else all.
+func (s *State) Lookup(region id.Region, _ id.DataCentre) []string {
+	var near, all []string
+	add := func(r id.Region, address string) {
+		all = append(all, address)
+		if r == region {
+			near = append(near, address)
+		}
+	}
+	if !s.isStopping {
+		add(s.config.Region, s.config.Address)
+	}
+	for _, name := range s.members.names() {
+		e := s.members.all[name]
+		if name != s.config.Instance && e != nil && s.members.isServing(e) {
+			add(e.Region, e.Address)
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	if len(all) == 0 {
+		// A caller without any address would ask again at once; this instance still serves for a while.
+		return []string{s.config.Address}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,230 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"bluebellhold/admission"
+	"bluebellhold/id"
+	"bluebellhold/placement"
+)
+
+// request is one caller's request from its arrival to its answer.
+type request struct {
+	id           id.Request
+	route        *Route
+	organisation id.Organisation
+	service      *service
+	want         placement.Want
+	rank         admission.Rank
+	// objectiveAt is when an answer stops being fully useful, and deadline when it is of no use at all.
+	objectiveAt time.Time
+	deadline    time.Time
+	stage       stage
+	choice      placement.Choice
+	// sends counts dispatches; mayHaveRun counts those after which the upstream may have run the request.
+	sends      int
+	mayHaveRun int
+	isGone     bool
+}
+
+type stage int
+
+const (
+	stageWaiting stage = iota
+	stageRunning
+)
+
+const (
+	// longestDeadline bounds a request whose caller and route name no limit.
+	longestDeadline = 60 * time.Second
+	// lateWait is the part of the objective that a request may wait although its answer will be late.
+	lateWait = 1.0
+	// startMargin is the time before its deadline at which a request that has not started is given up, so that the
+	// caller still gets the answer.
+	startMargin = 50 * time.Millisecond
+)
+
+// arrive checks a request against the configuration and its organisation's limit, and then starts or queues it.
+func (s *State) arrive(e RequestArrived) {
+	s.counts.Arrived++
+	r := &request{id: e.Request}
+	if !s.isConfigured {
+		s.emit(Refuse{Request: e.Request, Refusal: Refusal{Code: CodeStarting, After: s.now.Add(startingReturn)}})
+		return
+	}
+	r.route = s.hosts.match(e.Host, e.Path)
+	if r.route == nil {
+		s.emit(Refuse{Request: e.Request, Refusal: Refusal{Code: CodeRoute}})
+		return
+	}
+	if !s.authorise(r, e) {
+		s.emit(Refuse{Request: e.Request, Refusal: Refusal{Code: CodeKey}})
+		return
+	}
+	s.setDeadlines(r, e.Patience)
+	organisation := s.current.Organisations[r.organisation]
+	r.rank = rankOf(organisation, r.route)
+	r.want = placement.Want{Class: r.route.ID, Expected: expectedWork(r.route), Regions: r.route.Regions}
+	if r.route.Sticky {
+		r.want.Object = e.Object
+	}
+	if !r.restrict(organisation.Regions) {
+		s.emit(Refuse{Request: e.Request, Refusal: Refusal{Code: CodeUpstreams}})
+		return
+	}
+	if after, ok := s.spend(r.organisation); !ok {
+		s.emit(Refuse{Request: e.Request, Refusal: Refusal{Code: CodeRate, After: after}})
+		return
+	}
+	s.requests[r.id] = r
+	r.service = s.services[s.splits[r.route.ID].next()]
+	r.service.budget.First(s.now)
+	s.admit(r)
+}
+
+// startingReturn is when a caller should come back to an instance that has not read its configuration; a read takes a
+// fraction of a second.
+const startingReturn = 300 * time.Millisecond
+
+func (s *State) authorise(r *request, e RequestArrived) bool {
+	if e.HasSecret {
+		if organisation, ok := s.current.Keys[e.Secret]; ok {
+			r.organisation = organisation
+			return true
+		}
+	}
+	return r.route.Open || len(s.current.Organisations) == 0
+}
+
+// setDeadlines computes the request's times. A caller that comes back has less patience than a first attempt, which
+// tells how long ago the first attempt was.
+func (s *State) setDeadlines(r *request, patience time.Duration) {
+	if patience <= 0 || patience > longestDeadline {
+		patience = longestDeadline
+	}
+	most := max(s.patience[r.route.ID], patience)
+	s.patience[r.route.ID] = most
+	r.deadline = s.now.Add(patience)
+	if r.route.Timeout > 0 {
+		r.deadline = s.now.Add(min(patience, r.route.Timeout))
+	}
+	r.objectiveAt = s.now.Add(r.route.Objective - (most - patience))
+}
+
+// restrict narrows the allowed regions to those of the organisation and reports whether any is left.
+func (r *request) restrict(regions []id.Region) bool {
+	switch {
+	case len(regions) == 0:
+		return true
+	case len(r.want.Regions) == 0:
+		r.want.Regions = regions
+		return true
+	}
+	var both []id.Region
+	for _, region := range r.want.Regions {
+		if slices.Contains(regions, region) {
+			both = append(both, region)
+		}
+	}
+	r.want.Regions = both
+	return len(both) > 0
+}
+
+// spend takes a token of the organisation's limit; if there is none it returns when the next one is there.
+func (s *State) spend(name id.Organisation) (time.Time, bool) {
+	o := s.organisations[name]
+	if o == nil || s.current.Organisations[name].Rate <= 0 {
+		return time.Time{}, true
+	}
+	if o.share.Take(s.now) {
+		return time.Time{}, true
+	}
+	o.refused++
+	return o.share.NextAt(s.now), false
+}
+
+// admit starts a request, lets it wait if it can be expected to start in time, or rejects it at once.
+func (s *State) admit(r *request) {
+	svc := r.service
+	choice, ok := svc.chooser.Choose(s.now, r.want)
+	if !ok {
+		s.refuse(r, Refusal{Code: CodeUpstreams, Ran: r.mayHaveRun > 0, After: svc.line.Return(s.now, s.random.Float64())})
+		return
+	}
+	if choice.HasRoom && svc.line.Len() == 0 {
+		s.start(r, choice)
+		return
+	}
+	w := r.waiter(s.now, choice)
+	if wait := svc.line.Wait(s.now, r.rank); s.now.Add(wait).After(w.Expires) {
+		s.refuse(r, s.busy(svc))
+		return
+	}
+	svc.line.Add(w)
+	s.pump(svc)
+}
+
+// waiter returns the request's place in the line, given where it would run now.
+func (r *request) waiter(now time.Time, c placement.Choice) admission.Waiter {
+	w := admission.Waiter{Request: r.id, Rank: r.rank, OnTime: r.objectiveAt.Add(-c.Finish)}
+	late := now.Add(time.Duration(lateWait * float64(r.route.Objective)))
+	w.Expires = earlier(later(w.OnTime, late), r.deadline.Add(-c.Finish-startMargin))
+	return w
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// busy is the refusal of a request that could not be started.
+func (s *State) busy(svc *service) Refusal {
+	return Refusal{Code: CodeBusy, After: svc.line.Return(s.now, s.random.Float64())}
+}
+
+func (s *State) refuse(r *request, refusal Refusal) {
+	if r.mayHaveRun > 0 {
+		refusal.Ran = true
+	}
+	delete(s.requests, r.id)
+	s.counts.Refused++
+	s.emit(Refuse{Request: r.id, Refusal: refusal})
+}
+
+// callerGone drops a request that nobody waits for. Work that may not be repeated runs to its end, since its result
+// counts although nobody hears of it.
+func (s *State) callerGone(e CallerGone) {
+	r := s.requests[e.Request]
+	if r == nil {
+		return
+	}
+	r.isGone = true
+	if r.stage == stageWaiting {
+		r.service.line.Remove(r.id)
+		s.refuse(r, Refusal{Code: CodeTimeout})
+		return
+	}
+	if r.route.Idempotent {
+		s.emit(Cancel{Request: r.id})
+	}
+}
+
+// refuseUnknown drops waiting requests whose service the configuration no longer has.
+func (s *State) refuseUnknown() {
+	for _, r := range s.requests {
+		if _, ok := s.current.Services[r.service.id]; !ok && r.stage == stageWaiting {
+			r.service.line.Remove(r.id)
+			s.refuse(r, Refusal{Code: CodeUpstreams, After: s.now.Add(startingReturn)})
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"bluebellhold/admission"
+	"bluebellhold/id"
+	"bluebellhold/placement"
+	"bluebellhold/retry"
+)
+
+// service is what an instance keeps for one service.
+type service struct {
+	id      id.Service
+	chooser *placement.Chooser
+	line    admission.Line
+	budget  *retry.Budget
+}
+
+// placeUpstreams gives each service its upstreams. An upstream that is draining gets no new work and is left out.
+func (s *State) placeUpstreams() {
+	byService := make(map[id.Service][]placement.Upstream)
+	for _, u := range s.upstreams {
+		if u.Draining {
+			continue
+		}
+		byService[u.Service] = append(byService[u.Service], placement.Upstream{
+			ID: u.ID, Region: u.Region, DataCentre: u.DataCentre, Slots: u.Slots, Incarnation: u.Incarnation,
+			ColdUntil: u.ColdUntil,
+		})
+	}
+	for name := range s.current.Services {
+		if s.services[name] == nil {
+			s.services[name] = s.newService(name)
+		}
+	}
+	for name, svc := range s.services {
+		slices.SortFunc(byService[name], func(a, b placement.Upstream) int { return cmp.Compare(a.ID, b.ID) })
+		svc.chooser.Set(s.now, byService[name])
+	}
+	s.names = slices.Sorted(maps.Keys(s.services))
+}
+
+func (s *State) newService(name id.Service) *service {
+	svc := &service{
+		id:      name,
+		chooser: placement.New(placement.Config{Region: s.config.Region, DataCentre: s.config.DataCentre}),
+	}
+	svc.chooser.Close(s.evacuated)
+	svc.share(s, s.current.Services[name])
+	return svc
+}
+
+// share divides the bounds of the service among the instances.
+func (v *service) share(s *State, config Service) {
+	b := s.config.Bounds
+	v.chooser.Share(s.now, s.config.Instance, s.members.names(), b.coldWindow(config))
+	v.budget = retry.NewBudget(retry.BudgetConfig{
+		Ratio:  b.RetryRatio * margin,
+		Floor:  int(b.RetryExtra * margin / float64(s.members.count())),
+		Window: b.RetryWindow,
+	})
+}
+
+// split deals the requests of a route to its services in proportion to the weights.
+type split struct {
+	targets []Target
+	credit  []float64
+}
+
+func (s *State) configureSplits() {
+	splits := make(map[id.Route]*split, len(s.current.Routes))
+	for _, r := range s.current.Routes {
+		if known := s.splits[r.ID]; known != nil && slices.Equal(known.targets, r.Targets) {
+			splits[r.ID] = known
+			continue
+		}
+		splits[r.ID] = &split{targets: r.Targets, credit: make([]float64, len(r.Targets))}
+	}
+	s.splits = splits
+}
+
+// next returns the service of the next request by smooth weighted round robin, so that any run of requests has nearly
+// the exact shares.
+func (p *split) next() id.Service {
+	total, best := 0.0, 0
+	for i, t := range p.targets {
+		p.credit[i] += t.Weight
+		total += t.Weight
+		if p.credit[i] > p.credit[best] {
+			best = i
+		}
+	}
+	p.credit[best] -= total
+	return p.targets[best].Service
+}
+
+// expectedWork is the work assumed for a route before any has been measured; cold work of the users' routes takes a
+// little more than their objective.
+func expectedWork(r *Route) time.Duration {
+	return r.Objective
+}
--- /dev/null
+++ b/internal/entry/state.go
@@ -0,0 +1,211 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"bluebellhold/allotment"
+	"bluebellhold/id"
+)
+
+// Config configures a State.
+type Config struct {
+	Instance   id.Instance
+	Region     id.Region
+	DataCentre id.DataCentre
+	// Address is where callers reach the instance.
+	Address string
+	Bounds  Bounds
+	Seed    uint64
+}
+
+// State is everything that one instance knows and decides with.
+//
+// It is not safe for concurrent use; the shell reduces one event at a time.
+type State struct {
+	config Config
+	random *rand.Rand
+	now    time.Time
+
+	// isConfigured and isListed are set once the document and the upstreams are known.
+	isConfigured bool
+	isListed     bool
+	current      Configuration
+	hosts        hosts
+	upstreams    map[id.Upstream]Upstream
+	evacuated    map[id.DataCentre]bool
+	members      members
+	services     map[id.Service]*service
+	// names lists the services in order, so that decisions do not depend on the order of a map.
+	names         []id.Service
+	organisations map[id.Organisation]*organisation
+	splits        map[id.Route]*split
+	patience      map[id.Route]time.Duration
+	requests      map[id.Request]*request
+	isStopping    bool
+	counts        Counts
+
+	out []Effect
+}
+
+// organisation is what an instance keeps for one organisation.
+type organisation struct {
+	share           allotment.Even
+	served, refused uint64
+}
+
+// Counts are totals since the start.
+type Counts struct {
+	Arrived, Started, Second, Answered, Rejected, Refused, Broken, TimedOut uint64
+}
+
+// New returns the state of an instance that has just started and knows nothing.
+func New(c Config) *State {
+	return &State{
+		config:        c,
+		random:        rand.New(rand.NewPCG(c.Seed, c.Seed>>1+1)),
+		upstreams:     make(map[id.Upstream]Upstream),
+		members:       newMembers(c.Instance),
+		services:      make(map[id.Service]*service),
+		organisations: make(map[id.Organisation]*organisation),
+		splits:        make(map[id.Route]*split),
+		patience:      make(map[id.Route]time.Duration),
+		requests:      make(map[id.Request]*request),
+	}
+}
+
+// Reduce takes an event at the time now and returns the effects to carry out, in order.
+//
+// The slice is valid until the next call.
+func (s *State) Reduce(now time.Time, e Event) []Effect {
+	s.now = now
+	s.out = s.out[:0]
+	switch e := e.(type) {
+	case RequestArrived:
+		s.arrive(e)
+	case AttemptEnded:
+		s.attemptEnded(e)
+	case CallerGone:
+		s.callerGone(e)
+	case Connected:
+		s.connected(e)
+	case Tick:
+		s.tick()
+	case Configured:
+		s.configure(e.Configuration)
+	case UpstreamsListed:
+		s.list(e.Upstreams)
+	case EvacuationsListed:
+		s.evacuate(e.DataCentres)
+	case MembersListed:
+		s.listMembers(e.Members)
+	case StopRequested:
+		s.isStopping = true
+	}
+	return s.out
+}
+
+// IsReady reports whether the instance can serve callers.
+func (s *State) IsReady() bool {
+	return s.isConfigured && s.isListed && !s.isStopping
+}
+
+// Counts returns the totals since the start.
+func (s *State) Counts() Counts { return s.counts }
+
+// Limits returns what callers may send, and zero values before a configuration is known.
+func (s *State) Limits() CallerLimits { return s.current.Limits }
+
+// Version returns the version of the configuration in force.
+func (s *State) Version() uint64 { return s.current.Version }
+
+func (s *State) emit(e Effect) { s.out = append(s.out, e) }
+
+// configure puts a document in force unless it is older than the current one.
+func (s *State) configure(c Configuration) {
+	if s.isConfigured && c.Version <= s.current.Version {
+		return
+	}
+	s.isConfigured = true
+	s.current = c
+	s.hosts = newHosts(c.Routes)
+	s.configureOrganisations()
+	s.configureSplits()
+	s.placeUpstreams()
+	s.refuseUnknown()
+}
+
+func (s *State) configureOrganisations() {
+	for name := range s.organisations {
+		if _, ok := s.current.Organisations[name]; !ok {
+			delete(s.organisations, name)
+		}
+	}
+	for name := range s.current.Organisations {
+		if s.organisations[name] == nil {
+			s.organisations[name] = &organisation{}
+		}
+	}
+	s.shareLimits()
+}
+
+// shareLimits divides the fleet-wide limits among the instances that are known.
+func (s *State) shareLimits() {
+	for name, o := range s.organisations {
+		if limit := s.current.Organisations[name]; limit.Rate > 0 {
+			o.share.Set(s.now, s.config.Bounds.rateWindow(limit), s.members.count())
+		}
+	}
+	for name, svc := range s.services {
+		svc.share(s, s.current.Services[name])
+	}
+}
+
+// list replaces the list of upstreams.
+func (s *State) list(upstreams []Upstream) {
+	s.isListed = true
+	s.upstreams = make(map[id.Upstream]Upstream, len(upstreams))
+	for _, u := range upstreams {
+		s.upstreams[u.ID] = u
+	}
+	s.placeUpstreams()
+	s.pumpAll()
+}
+
+func (s *State) evacuate(dataCentres []id.DataCentre) {
+	s.evacuated = make(map[id.DataCentre]bool, len(dataCentres))
+	for _, d := range dataCentres {
+		s.evacuated[d] = true
+	}
+	for _, svc := range s.services {
+		svc.chooser.Close(s.evacuated)
+	}
+	s.pumpAll()
+}
+
+// tick gives up what has waited too long and starts what can start.
+func (s *State) tick() {
+	for _, name := range s.names {
+		svc := s.services[name]
+		for _, w := range svc.line.Expired(s.now) {
+			if r := s.requests[w.Request]; r != nil {
+				s.refuse(r, s.busy(svc))
+			}
+		}
+	}
+	s.pumpAll()
+}
+
+// Wake returns when the next Tick is due, or zero if none is.
+func (s *State) Wake(now time.Time) time.Time {
+	for _, name := range s.names {
+		if s.services[name].line.Len() > 0 {
+			return now.Add(pumpEvery)
+		}
+	}
+	return time.Time{}
+}
+
+// pumpEvery is how often waiting requests are looked at besides at each ended attempt, since room also appears when
+// other instances finish work.
+const pumpEvery = 10 * time.Millisecond
--- /dev/null
+++ b/internal/ingress/attempt.go
@@ -0,0 +1,229 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"bluebellhold/id"
+	"bluebellhold/internal/entry"
+	"bluebellhold/placement"
+)
+
+const (
+	// answerLimit is the largest answer that is held in memory before it is passed on.
+	answerLimit = 8 << 20
+	// maxInterim bounds the interim answers before the final one.
+	maxInterim = 8
+)
+
+// answer is a whole answer of an upstream.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// attempt sends the request to one upstream and reads the whole answer.
+func (x *exchange) attempt(d entry.Dispatch) entry.Ending {
+	for {
+		ending, isStale := x.try(d)
+		if !isStale {
+			return ending
+		}
+		// A kept connection had been closed before anything was sent; the next one is tried.
+	}
+}
+
+// try sends the request on one connection. isStale is set if a kept connection turned out to be closed while nothing
+// had been sent.
+func (x *exchange) try(d entry.Dispatch) (ending entry.Ending, isStale bool) {
+	started := time.Now()
+	c := x.pool.take(d)
+	if c == nil {
+		var err error
+		c, err = x.pool.dial(d)
+		if err != nil {
+			x.journal.unreached(x, d, err)
+			return entry.Unsent{}, false
+		}
+		x.Post(entry.Connected{Request: x.id, Took: time.Since(started)})
+	}
+	isKept := false
+	defer func() {
+		x.setStop(nil)
+		if !isKept {
+			c.close()
+		}
+	}()
+	x.setStop(c.interrupt)
+	if err := c.conn.SetDeadline(d.Deadline); err != nil {
+		return entry.Unsent{Stale: true}, c.isReused
+	}
+	n, err := c.conn.Write(x.head(d))
+	if err != nil {
+		if n == 0 && !x.wasCancelled() {
+			return entry.Unsent{Stale: c.isReused}, c.isReused
+		}
+		return x.failure(started, err), false
+	}
+	ending, isKept = x.readAnswer(c, d, started)
+	if isKept {
+		x.pool.put(d, c)
+	}
+	return ending, false
+}
+
+// failure tells what an error after the first byte was sent means.
+func (x *exchange) failure(started time.Time, err error) entry.Ending {
+	switch {
+	case x.wasCancelled():
+		return entry.Cancelled{}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return entry.TimedOut{Elapsed: time.Since(started)}
+	}
+	x.journal.broken(x, err)
+	return entry.Broken{}
+}
+
+// head returns the bytes of the request to the upstream. The body follows in the same write.
+func (x *exchange) head(d entry.Dispatch) []byte {
+	header := x.r.Header.Clone()
+	removeHopHeaders(header)
+	x.config.Headers.Send(header, Send{
+		Upstream: d.Upstream, Organisation: d.Organisation, Left: time.Until(d.Deadline),
+	})
+	if x.r.ContentLength != 0 {
+		header["Content-Length"] = []string{strconv.Itoa(len(x.body))}
+	}
+	var b bytes.Buffer
+	b.Grow(1024 + len(x.body))
+	b.WriteString(x.r.Method + " " + x.r.RequestURI + " HTTP/1.1\r\nHost: " + x.r.Host + "\r\n")
+	// Writing to a buffer does not fail.
+	_ = header.Write(&b)
+	b.WriteString("\r\n")
+	b.Write(x.body)
+	return b.Bytes()
+}
+
+// readAnswer reads the answer and reports whether the connection can be kept.
+func (x *exchange) readAnswer(c *connection, d entry.Dispatch, started time.Time) (entry.Ending, bool) {
+	response, err := readResponse(c.reader, x.r)
+	if err != nil {
+		return x.failure(started, err), false
+	}
+	said := x.config.Headers.Answer(response.StatusCode, response.Header)
+	if said.Attempt != "" && said.Attempt != x.caller.Attempt || response.Header.Get("Content-Encoding") != "" {
+		return x.failure(started, &AnswerError{Status: response.StatusCode}), false
+	}
+	body, err := readAll(response)
+	if err != nil {
+		return x.failure(started, err), false
+	}
+	isKept := !response.Close && response.ContentLength >= 0 && c.reader.Buffered() == 0
+	if isKept {
+		c.keepUntil(response.Header.Get("Keep-Alive"))
+	}
+	switch {
+	case said.IsMisdirected:
+		return entry.Misdirected{}, isKept
+	case said.IsNotExecuted && response.StatusCode >= http.StatusBadRequest:
+		return entry.Rejected{Load: said.Load}, isKept
+	case !said.IsSigned:
+		return x.failure(started, &AnswerError{Status: response.StatusCode}), false
+	}
+	header := response.Header
+	removeHopHeaders(header)
+	x.answer = &answer{status: response.StatusCode, header: header, body: body}
+	return x.answered(response.StatusCode, len(body), started, said.Load), isKept
+}
+
+func (x *exchange) answered(status, size int, started time.Time, load *placement.Load) entry.Ending {
+	return entry.Answered{
+		Status: status, Failed: status >= http.StatusInternalServerError, Elapsed: time.Since(started),
+		Size: id.Bytes(size), Load: load,
+	}
+}
+
+// readResponse reads the head of the final answer.
+func readResponse(r *bufio.Reader, request *http.Request) (*http.Response, error) {
+	for range maxInterim {
+		response, err := http.ReadResponse(r, request)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			break
+		}
+	}
+	return nil, &AnswerError{Status: http.StatusSwitchingProtocols}
+}
+
+// readAll reads a whole body up to the limit.
+func readAll(response *http.Response) ([]byte, error) {
+	var body bytes.Buffer
+	if response.ContentLength > 0 {
+		body.Grow(int(min(response.ContentLength, answerLimit)) + bytes.MinRead)
+	}
+	n, err := body.ReadFrom(io.LimitReader(response.Body, answerLimit+1))
+	if err != nil {
+		return nil, err
+	}
+	if n > answerLimit {
+		return nil, &SizeError{Limit: answerLimit}
+	}
+	return body.Bytes(), nil
+}
+
+// removeHopHeaders removes the headers that concern only one connection, and those that the Connection header names.
+func removeHopHeaders(h http.Header) {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(h, name)
+	}
+}
+
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+func hostname(host string) string {
+	return strings.ToLower(host)
+}
+
+// path returns the path of a request's target without the query.
+func path(target string) string {
+	p, _, _ := strings.Cut(target, "?")
+	return p
+}
+
+// AnswerError reports bytes that are not an answer to the request.
+type AnswerError struct {
+	Status int
+}
+
+// Error names the status.
+func (e *AnswerError) Error() string {
+	return "ingress: unexpected answer with status " + strconv.Itoa(e.Status)
+}
+
+// SizeError reports an answer that is too large.
+type SizeError struct {
+	Limit int64
+}
+
+// Error names the limit.
+func (e *SizeError) Error() string {
+	return "ingress: an answer exceeds " + strconv.FormatInt(e.Limit, 10) + " bytes"
+}
--- /dev/null
+++ b/internal/ingress/follow.go
@@ -0,0 +1,270 @@
+package ingress
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"bluebellhold/id"
+	"bluebellhold/internal/entry"
+	"bluebellhold/store"
+)
+
+const (
+	// operatorWait is how long a read of the operator's rows waits for a change. It bounds how long a connection that
+	// has gone silent keeps changes from the instance.
+	operatorWait = 3 * time.Second
+	// upstreamsEvery is the pace of reading the upstreams' rows. They change many times a second, so waiting for a
+	// change would read all the time; a leaving upstream must be known within 2.5 s.
+	upstreamsEvery = time.Second
+	// heartbeatEvery is the pace of this instance's heartbeat and of reading those of others.
+	heartbeatEvery = 1500 * time.Millisecond
+	// failurePause is the pause after a failed read.
+	failurePause = 300 * time.Millisecond
+	// returnGrace is how long the entries of upstreams that vanished during an outage of the store are kept after its
+	// return; upstreams that live write theirs again within 2 s.
+	returnGrace = 2200 * time.Millisecond
+	// outageAfter is the time without an answer that counts as an outage.
+	outageAfter = 2500 * time.Millisecond
+)
+
+// follower keeps an instance in step with the store.
+type follower struct {
+	*Instance
+	operator  *store.Mirror
+	upstreams *store.Mirror
+	members   *store.Mirror
+
+	evacuations map[string]id.DataCentre
+	known       map[string]entry.Upstream
+	vanished    map[string]time.Time
+	readAt      time.Time
+	returnedAt  time.Time
+	addresses   map[string]entry.Member
+}
+
+func newFollower(i *Instance) *follower {
+	return &follower{
+		Instance:    i,
+		operator:    store.NewMirror(i.config.Feed, i.config.Tables.Operator),
+		upstreams:   store.NewMirror(i.config.Feed, i.config.Tables.Upstreams),
+		members:     store.NewMirror(i.config.Feed, i.config.Tables.Members),
+		evacuations: make(map[string]id.DataCentre),
+		known:       make(map[string]entry.Upstream),
+		vanished:    make(map[string]time.Time),
+		addresses:   make(map[string]entry.Member),
+	}
+}
+
+func (f *follower) start(ctx context.Context) {
+	f.repeat(ctx, "operator", 0, f.readOperator)
+	f.repeat(ctx, "upstreams", upstreamsEvery, f.readUpstreams)
+	f.repeat(ctx, "members", heartbeatEvery, f.beat)
+}
+
+// repeat calls read at the pace and soon after a failure. It logs when the store is lost and regained.
+func (f *follower) repeat(ctx context.Context, part string, every time.Duration, read func(context.Context) error) {
+	f.work.Go(func() {
+		var lostAt time.Time
+		for ctx.Err() == nil {
+			started := time.Now()
+			err := read(ctx)
+			pause := every - time.Since(started)
+			switch {
+			case ctx.Err() != nil:
+				return
+			case err != nil && lostAt.IsZero():
+				lostAt = started
+				f.log.Warn("store: lost", "part", part, "error", err)
+				pause = failurePause
+			case err != nil:
+				pause = failurePause
+			case !lostAt.IsZero():
+				f.log.Info("store: regained", "part", part, "outage", time.Since(lostAt))
+				lostAt = time.Time{}
+			}
+			select {
+			case <-time.After(max(pause, 0)):
+			case <-ctx.Done():
+			}
+		}
+	})
+}
+
+// readOperator waits for changes of the operator's rows and puts them in force.
+func (f *follower) readOperator(ctx context.Context) error {
+	isFirst := len(f.operator.Rows()) == 0
+	changes, err := f.operator.Refresh(ctx, operatorWait)
+	if err != nil {
+		return err
+	}
+	if isFirst && len(changes) == 0 {
+		// Nothing is there yet, and a first read does not wait.
+		time.Sleep(failurePause)
+	}
+	isMoved := false
+	for _, change := range changes {
+		if change.Deleted {
+			_, isEvacuation := f.evacuations[change.Name]
+			isMoved = isMoved || isEvacuation
+			delete(f.evacuations, change.Name)
+			continue
+		}
+		row, err := f.config.Decoder.Operator(change.Name, change.Value)
+		if err != nil {
+			f.log.Error("operator: a row can't be read; the last good one stays in force", "row", change.Name, "error", err)
+			continue
+		}
+		switch row := row.(type) {
+		case Document:
+			f.Post(entry.Configured(row))
+			f.log.Info("operator: configuration", "version", row.Configuration.Version)
+		case Evacuation:
+			f.evacuations[change.Name] = row.DataCentre
+			isMoved = true
+		}
+	}
+	if isMoved {
+		list := make([]id.DataCentre, 0, len(f.evacuations))
+		for _, d := range f.evacuations {
+			list = append(list, d)
+		}
+		f.Post(entry.EvacuationsListed{DataCentres: list})
+		f.log.Info("operator: evacuations", "datacentres", list)
+	}
+	return nil
+}
+
+// readUpstreams takes in the changes of the upstreams' rows.
+func (f *follower) readUpstreams(ctx context.Context) error {
+	changes, err := f.upstreams.Refresh(ctx, 0)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	if !f.readAt.IsZero() && now.Sub(f.readAt) > outageAfter {
+		f.returnedAt = now
+	}
+	isFirst := f.readAt.IsZero()
+	f.readAt = now
+	isMoved := isFirst
+	for _, change := range changes {
+		isMoved = f.takeUpstream(now, change) || isMoved
+	}
+	for name, at := range f.vanished {
+		if !now.Before(at) {
+			delete(f.vanished, name)
+			delete(f.known, name)
+			isMoved = true
+		}
+	}
+	if isMoved {
+		list := make([]entry.Upstream, 0, len(f.known))
+		for _, u := range f.known {
+			list = append(list, u)
+		}
+		f.Post(entry.UpstreamsListed{Upstreams: list})
+	}
+	return nil
+}
+
+// takeUpstream takes in one row and reports whether the list of upstreams has changed.
+func (f *follower) takeUpstream(now time.Time, change store.Change) bool {
+	before, isKnown := f.known[change.Name]
+	if change.Deleted {
+		if !isKnown {
+			return false
+		}
+		if now.Sub(f.returnedAt) < returnGrace && !before.Draining {
+			f.vanished[change.Name] = f.returnedAt.Add(returnGrace)
+			return false
+		}
+		delete(f.known, change.Name)
+		f.log.Debug("upstreams: gone", "upstream", change.Name)
+		return true
+	}
+	delete(f.vanished, change.Name)
+	u, err := f.config.Decoder.Upstream(now, change.Name, change.Value)
+	if err != nil {
+		f.log.Warn("upstreams: a row can't be read; it names no upstream", "row", change.Name, "error", err)
+		delete(f.known, change.Name)
+		return isKnown
+	}
+	f.known[change.Name] = u
+	if !isKnown || u.Draining != before.Draining || u.Incarnation != before.Incarnation {
+		f.log.Info("upstreams: changed", "upstream", u.ID, "service", u.Service, "draining", u.Draining)
+	}
+	return !isKnown || !isSame(u, before, now)
+}
+
+// isSame reports whether two readings of an upstream differ only by the passing of time.
+func isSame(a, b entry.Upstream, now time.Time) bool {
+	if now.Before(a.ColdUntil) != now.Before(b.ColdUntil) {
+		return false
+	}
+	a.ColdUntil, b.ColdUntil = time.Time{}, time.Time{}
+	return a == b
+}
+
+// beat writes this instance's heartbeat and reads those of all.
+func (f *follower) beat(ctx context.Context) error {
+	if err := f.writeMember(ctx, f.isStopping.Load()); err != nil {
+		return err
+	}
+	changes, err := f.members.Refresh(ctx, 0)
+	if err != nil {
+		return err
+	}
+	for _, change := range changes {
+		f.takeMember(change)
+	}
+	list := make([]entry.Member, 0, len(f.addresses))
+	for _, m := range f.addresses {
+		list = append(list, m)
+	}
+	f.Post(entry.MembersListed{Members: list})
+	return nil
+}
+
+// member is the heartbeat row of an instance.
+type member struct {
+	Address    string        `json:"address"`
+	Region     id.Region     `json:"region"`
+	DataCentre id.DataCentre `json:"datacentre"`
+	Leaving    bool          `json:"leaving,omitempty"`
+}
+
+func (f *follower) writeMember(ctx context.Context, isLeaving bool) error {
+	value, err := json.Marshal(member{
+		Address: f.config.Callers, Region: f.config.Region, DataCentre: f.config.DataCentre, Leaving: isLeaving,
+	})
+	if err != nil {
+		return err
+	}
+	return f.config.Feed.Put(ctx, f.config.Tables.Members, string(f.config.Instance), value)
+}
+
+func (f *follower) takeMember(change store.Change) {
+	if change.Deleted {
+		delete(f.addresses, change.Name)
+		return
+	}
+	var m member
+	if err := json.Unmarshal(change.Value, &m); err != nil || m.Address == "" {
+		f.log.Warn("members: a row can't be read", "row", change.Name, "error", err)
+		return
+	}
+	f.addresses[change.Name] = entry.Member{
+		Instance: id.Instance(change.Name), Region: m.Region, DataCentre: m.DataCentre, Address: m.Address,
+		Leaving: m.Leaving, Version: change.Version,
+	}
+}
+
+// leave tells the other instances at once that this one is stopping.
+func (f *follower) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), heartbeatEvery)
+	defer cancel()
+	if err := f.writeMember(ctx, true); err != nil {
+		f.log.Warn("members: the notice of leaving was not written", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/ingress/instance.go
@@ -0,0 +1,228 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gorilla/mux"
+	"github.com/rcrowley/go-metrics"
+
+	"bluebellhold/id"
+	"bluebellhold/internal/entry"
+)
+
+const (
+	// headerTimeout and idleTimeout are above what any operator's document allows callers, so that a caller within
+	// its limits is never cut.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 75 * time.Second
+	// maxHeader is the largest header that is read at all; the document's limit is checked afterwards.
+	maxHeader = 64 << 10
+	// keepAliveEvery is the pace of the probes that find a caller that has gone without a word.
+	keepAliveEvery = 5 * time.Second
+)
+
+// Instance is one entry instance. It is safe for concurrent use.
+type Instance struct {
+	config   Config
+	log      *log.Logger
+	registry metrics.Registry
+	meters   meters
+	journal  *journal
+
+	// m guards the state and the exchanges that wait for its effects.
+	m         sync.Mutex
+	state     *entry.State
+	exchanges map[id.Request]*exchange
+	timer     *time.Timer
+	wakeAt    time.Time
+
+	pool       *pool
+	requests   atomic.Uint64
+	bodies     atomic.Int64
+	isStopping atomic.Bool
+	listeners  []net.Listener
+	servers    []*http.Server
+	callers    *http.Server
+	work       sync.WaitGroup
+}
+
+// New binds the instance's addresses and returns an instance that Run starts.
+func New(c Config) (*Instance, error) {
+	if c.Registry == nil {
+		c.Registry = metrics.NewRegistry()
+	}
+	i := &Instance{
+		config:   c,
+		log:      c.Log,
+		registry: c.Registry,
+		meters:   newMeters(c.Registry),
+		journal:  newJournal(c.Log),
+		state: entry.New(entry.Config{
+			Instance: c.Instance, Region: c.Region, DataCentre: c.DataCentre, Address: c.Callers, Bounds: c.Bounds,
+			Seed: uint64(time.Now().UnixNano()),
+		}),
+		exchanges: make(map[id.Request]*exchange),
+		pool:      newPool(),
+	}
+	i.timer = time.AfterFunc(time.Hour, i.tick)
+	return i, i.listen()
+}
+
+// listen binds the addresses; several purposes may share one.
+func (i *Instance) listen() error {
+	i.callers = &http.Server{
+		Handler: http.HandlerFunc(i.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeader,
+	}
+	control := mux.NewRouter()
+	control.HandleFunc("/metrics", i.serveMetrics)
+	control.HandleFunc("/dump", i.serveDump)
+	i.config.Control(control, i)
+	if err := i.bind(i.config.Callers, i.callers); err != nil {
+		return err
+	}
+	for _, address := range []string{i.config.Readiness, i.config.Lookups, i.config.Metrics} {
+		server := &http.Server{Handler: control, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		if err := i.bind(address, server); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (i *Instance) bind(address string, server *http.Server) error {
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveEvery, Interval: keepAliveEvery, Count: 3,
+	}}
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		i.close()
+		return &ListenError{Address: address, Cause: err}
+	}
+	i.listeners = append(i.listeners, listener)
+	i.servers = append(i.servers, server)
+	return nil
+}
+
+// Run serves until ctx ends and then stops gracefully.
+func (i *Instance) Run(ctx context.Context) error {
+	for n, server := range i.servers {
+		i.work.Go(func() {
+			if err := server.Serve(i.listeners[n]); !errors.Is(err, http.ErrServerClosed) {
+				i.log.Error("instance: a server ended", "address", i.listeners[n].Addr().String(), "error", err)
+			}
+		})
+	}
+	following, stopFollowing := context.WithCancel(context.Background())
+	defer stopFollowing()
+	f := newFollower(i)
+	f.start(following)
+	i.log.Info("instance: started", "instance", i.config.Instance, "callers", i.config.Callers)
+	<-ctx.Done()
+	i.log.Info("instance: stopping")
+	i.stop(f)
+	stopFollowing()
+	i.close()
+	i.work.Wait()
+	i.journal.close()
+	i.log.Info("instance: stopped")
+	return nil
+}
+
+const (
+	// lingerPart is the part of the grace during which a stopping instance still takes new connections, since callers
+	// keep the answer of a look-up for some seconds.
+	lingerPart = 0.45
+	// finishPart is the part of the grace after which the process ends, whatever still runs.
+	finishPart = 0.95
+)
+
+// stop withdraws the instance from look-ups and readiness, keeps serving while callers still hold its address, and
+// then waits for the running requests.
+func (i *Instance) stop(f *follower) {
+	end := time.Now().Add(time.Duration(finishPart * float64(i.config.Bounds.Grace)))
+	i.isStopping.Store(true)
+	i.Post(entry.StopRequested{})
+	f.leave()
+	time.Sleep(time.Duration(lingerPart * float64(i.config.Bounds.Grace)))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := i.callers.Shutdown(ctx); err != nil {
+		i.log.Warn("instance: requests cut at the end of the grace", "error", err)
+	}
+}
+
+// close ends the servers at once.
+func (i *Instance) close() {
+	for _, server := range i.servers {
+		_ = server.Close()
+	}
+	for _, listener := range i.listeners {
+		_ = listener.Close()
+	}
+	i.timer.Stop()
+	i.pool.close()
+}
+
+// Post reduces an event and hands out its effects, none of which blocks.
+func (i *Instance) Post(e entry.Event) {
+	i.m.Lock()
+	defer i.m.Unlock()
+	now := time.Now()
+	for _, effect := range i.state.Reduce(now, e) {
+		i.handOut(effect)
+	}
+	i.schedule(now)
+}
+
+// handOut gives an effect to the exchange that it belongs to; it is called with m held.
+func (i *Instance) handOut(effect entry.Effect) {
+	e, ok := effect.(entry.RequestEffect)
+	if !ok {
+		return
+	}
+	x := i.exchanges[e.RequestID()]
+	if x == nil {
+		return
+	}
+	if _, ok := effect.(entry.Cancel); ok {
+		x.cancel()
+		return
+	}
+	x.effects <- e
+}
+
+// schedule sets the timer for the state's next tick; it is called with m held.
+func (i *Instance) schedule(now time.Time) {
+	at := i.state.Wake(now)
+	if at.IsZero() || now.Before(i.wakeAt) && !at.Before(i.wakeAt) {
+		return
+	}
+	i.wakeAt = at
+	i.timer.Reset(at.Sub(now))
+}
+
+func (i *Instance) tick() {
+	i.Post(entry.Tick{})
+}
+
+// ListenError reports an address that the instance cannot listen on.
+type ListenError struct {
+	Address string
+	Cause   error
+}
+
+// Error names the address and the cause.
+func (e *ListenError) Error() string {
+	return "ingress: cannot listen on " + e.Address + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -8,12 +8,9 @@
 	"net/url"
 	"os"
 	"path/filepath"
-	"slices"
 	"strconv"
-	"strings"
 
 	"bluebellhold/internal/strict"
-	"bluebellhold/note"
 )
 
 // minSecret is the shortest secret in bytes; shorter ones can be guessed.
@@ -41,15 +38,10 @@
 	s.PeerSecret = c.secret("secret", &s.Secret)
 	s.OperatorToken = c.secret("token", &s.Token)
 	c.tls(&s.TLS)
-	problems := c.Problems()
-	if len(problems) == 0 {
-		return s, nil
+	if err := c.invalid(path); err != nil {
+		return Settings{}, err
 	}
-	invalid := &InvalidError{File: path}
-	for _, p := range problems {
-		invalid.Fields = append(invalid.Fields, &note.FieldError{Path: p.Path, Value: p.Value, Allowed: p.Allowed})
-	}
-	return Settings{}, invalid
+	return s, nil
 }
 
 type checker struct {
@@ -58,13 +50,9 @@
 }
 
 func (c *checker) place(s *Settings) {
-	for path, name := range map[string]string{
+	c.names(map[string]string{
 		"name": string(s.Name), "region": string(s.Region), "datacentre": string(s.DataCentre),
-	} {
-		if !note.ValidName(name) {
-			c.Report(path, strconv.Quote(name), note.NameRule)
-		}
-	}
+	})
 }
 
 func (c *checker) addresses(s *Settings) {
@@ -98,9 +86,7 @@
 }
 
 func (c *checker) options(s *Settings) {
-	if !slices.Contains(levels, s.Log) {
-		c.Report("log", strconv.Quote(s.Log), "one of "+strings.Join(levels, ", "))
-	}
+	c.level(s.Log)
 	c.between("limits.body", int64(s.Limits.Body), 1<<10, 64<<20)
 	c.between("limits.header", int64(s.Limits.Header), 1<<10, 1<<20)
 	c.between("limits.queue", int64(s.Limits.Queue), 1, 1_000_000)
--- a/internal/strict/decode.go
+++ b/internal/strict/decode.go
@@ -58,10 +58,18 @@
 		return
 	}
 	if target.UnmarshalText([]byte(text)) != nil {
-		d.report(path, "a string of "+strconv.Itoa(len(text))+" bytes", "64 hexadecimal digits")
+		d.report(path, "a string of "+strconv.Itoa(len(text))+" bytes", allowedText(target))
 	}
 }
 
+// allowedText describes the texts that a type decodes; a type without a description of its own is a digest.
+func allowedText(target encoding.TextUnmarshaler) string {
+	if described, ok := target.(interface{ Allowed() string }); ok {
+		return described.Allowed()
+	}
+	return "64 hexadecimal digits"
+}
+
 func (d decoder) structure(tree any, target reflect.Value, path string) {
 	members, ok := tree.(object)
 	if !ok {
--- /dev/null
+++ b/placement/upstream.go
@@ -0,0 +1,58 @@
+package placement
+
+import (
+	"time"
+
+	"bluebellhold/allotment"
+	"bluebellhold/id"
+)
+
+// Upstream describes one server instance of the service.
+type Upstream struct {
+	ID         id.Upstream
+	Region     id.Region
+	DataCentre id.DataCentre
+	Slots      id.Slots
+	// Incarnation changes when the upstream restarts under the same id.
+	Incarnation id.Incarnation
+	// ColdUntil is when its caches are warm; until then it tolerates only the cold rate.
+	ColdUntil time.Time
+}
+
+// Load is what an upstream says about itself in an answer.
+type Load struct {
+	Running id.Slots
+	Waiting id.Slots
+	Slots   id.Slots
+}
+
+// upstream is what one instance knows about an upstream.
+type upstream struct {
+	Upstream
+	hash uint64
+	// inFlight counts the requests that this instance has sent there and that have not ended.
+	inFlight int
+	// others is the load that other instances put on it, as of othersAt.
+	others   float64
+	othersAt time.Time
+	// slowness is the measured work divided by the expected work.
+	slowness   float64
+	slownessAt time.Time
+	// failures counts failed sends in a row; after one, nothing is sent before retryAt, then one request at a time.
+	failures int
+	retryAt  time.Time
+	// shed is a decaying share of sends that were rejected.
+	shed   float64
+	shedAt time.Time
+	// cold is this instance's part of the cold rate, and mayCold is false where other instances hold all parts.
+	cold     allotment.Even
+	mayCold  bool
+	suspects time.Time
+	// works holds the last measured work per object.
+	works map[string]sample
+}
+
+type sample struct {
+	work time.Duration
+	at   time.Time
+}
--- /dev/null
+++ b/store/feed.go
@@ -0,0 +1,43 @@
+package store
+
+import (
+	"context"
+	"time"
+)
+
+// Change is the newest value of one named row, or its removal.
+type Change struct {
+	Name    string
+	Version uint64
+	Value   []byte
+	Deleted bool
+}
+
+// Changes are rows of one table as of a version of the store.
+type Changes struct {
+	Rows    []Change
+	Version uint64
+}
+
+// Feed tells what has changed in tables whose rows others write as well.
+//
+// Implementations are safe for concurrent use.
+type Feed interface {
+	// Changes returns the rows of a table that changed after the version, and waits up to wait for the first. It
+	// returns a HistoryError if the store no longer knows all changes since then.
+	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error)
+	// Snapshot returns all rows of a table.
+	Snapshot(ctx context.Context, table string) (Changes, error)
+	// Put writes one row whatever its version; after an error it is unknown whether it was written.
+	Put(ctx context.Context, table, name string, value []byte) error
+}
+
+// HistoryError reports that the changes since a version are no longer known.
+type HistoryError struct {
+	After uint64
+}
+
+// Error describes the failure.
+func (e *HistoryError) Error() string {
+	return "store: the history since the version asked for is gone"
+}
--- /dev/null
+++ b/store/mirror.go
@@ -0,0 +1,92 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Mirror keeps a copy of one table by following its feed. It is not safe for concurrent use.
+type Mirror struct {
+	feed     Feed
+	table    string
+	rows     map[string]Change
+	version  uint64
+	isLoaded bool
+}
+
+// NewMirror returns a Mirror that has read nothing.
+func NewMirror(feed Feed, table string) *Mirror {
+	return &Mirror{feed: feed, table: table, rows: make(map[string]Change)}
+}
+
+// Refresh brings the copy up to date and returns the rows that changed, removed ones included. It waits up to wait
+// for the first change. If the history is lost it reads the whole table.
+func (m *Mirror) Refresh(ctx context.Context, wait time.Duration) ([]Change, error) {
+	if !m.isLoaded {
+		return m.load(ctx)
+	}
+	changes, err := m.feed.Changes(ctx, m.table, m.version, wait)
+	if errors.As(err, new(*HistoryError)) {
+		return m.load(ctx)
+	}
+	if err != nil {
+		return nil, err
+	}
+	m.version = max(m.version, changes.Version)
+	return m.apply(changes.Rows), nil
+}
+
+// load reads the whole table. A snapshot that is older than the copy is stale and changes nothing.
+func (m *Mirror) load(ctx context.Context) ([]Change, error) {
+	snapshot, err := m.feed.Snapshot(ctx, m.table)
+	if err != nil {
+		return nil, err
+	}
+	if m.isLoaded && snapshot.Version < m.version {
+		return nil, &StaleError{Version: snapshot.Version, Known: m.version}
+	}
+	changes := snapshot.Rows
+	present := make(map[string]bool, len(changes))
+	for _, row := range changes {
+		present[row.Name] = true
+	}
+	for name := range m.rows {
+		if !present[name] {
+			changes = append(changes, Change{Name: name, Version: snapshot.Version, Deleted: true})
+		}
+	}
+	m.isLoaded, m.version = true, snapshot.Version
+	return m.apply(changes), nil
+}
+
+// apply takes the rows in and returns those that are news.
+func (m *Mirror) apply(rows []Change) []Change {
+	var news []Change
+	for _, row := range rows {
+		known, ok := m.rows[row.Name]
+		if ok && row.Version <= known.Version || !ok && row.Deleted {
+			continue
+		}
+		if row.Deleted {
+			delete(m.rows, row.Name)
+		} else {
+			m.rows[row.Name] = row
+		}
+		news = append(news, row)
+	}
+	return news
+}
+
+// Rows returns the copy by name; it must not be changed.
+func (m *Mirror) Rows() map[string]Change { return m.rows }
+
+// StaleError reports an answer that is older than what is known already.
+type StaleError struct {
+	Version, Known uint64
+}
+
+// Error describes the failure.
+func (e *StaleError) Error() string {
+	return "store: an answer is older than what is known"
+}
