Place objects on homes and divide rates by demand

Cause: at high load upstreams ran objects they did not know, 480 ms instead of 144 ms, because an idle stranger looked better than a home with a queue; estimates of the work took in the waiting at upstreams.

Change: an object runs on its homes only, as many as upstreams can remember; one cold run of an object at a time; work is learned from answers without waiting only; parts of rates follow the demand that heartbeats publish; an entry that vanished in an outage of one instance only is not kept.

Ruled out: choosing by the objects' value alone; routes share values.

--- /dev/null
+++ b/allotment/window.go
@@ -0,0 +1,91 @@
+package allotment
+
+import (
+	"time"
+
+	"bluebellhold/id"
+)
+
+// shareSlots is the number of counters into which a window is divided. A counter is dropped only when all of it has
+// left the window, so a share binds for a tenth longer than its window.
+const shareSlots = 10
+
+// Share is one instance's part of what all instances together may spend within any span of a given length.
+//
+// No message and no row carries it: as long as the parts of all instances add up to the whole, the sum over any window
+// stays within it, also while instances are cut off, killed or paused. Time is that of the monotonic clock, which
+// stands still while a machine is suspended.
+type Share struct {
+	most   id.Tokens
+	width  time.Duration
+	counts [shareSlots + 1]float64
+	total  float64
+	// latest is the number of the newest counter.
+	latest int64
+	origin time.Time
+}
+
+// Set changes the part and the length of the window; what has been spent stays counted.
+func (s *Share) Set(now time.Time, most id.Tokens, span time.Duration) {
+	if s.origin.IsZero() {
+		s.origin = now
+	}
+	s.most, s.width = most, max(span/shareSlots, 1)
+}
+
+// Assume counts as spent what a predecessor may have spent within its last window.
+func (s *Share) Assume(now time.Time, spent id.Tokens) {
+	s.roll(now)
+	for i := range s.counts {
+		s.counts[i] += float64(spent) / float64(len(s.counts))
+	}
+	s.total += float64(spent)
+}
+
+// Take spends one token if the part allows it.
+func (s *Share) Take(now time.Time) bool {
+	s.roll(now)
+	if s.total+1 > float64(s.most) {
+		return false
+	}
+	s.counts[s.latest%int64(len(s.counts))]++
+	s.total++
+	return true
+}
+
+// Spent returns the tokens spent within the current window.
+func (s *Share) Spent(now time.Time) id.Tokens {
+	s.roll(now)
+	return id.Tokens(s.total)
+}
+
+// NextAt returns when the next token can be taken, and a time beyond a whole window if the part is below one token.
+func (s *Share) NextAt(now time.Time) time.Time {
+	s.roll(now)
+	left := s.total + 1 - float64(s.most)
+	for i := int64(1); i <= int64(len(s.counts)); i++ {
+		if left <= 0 {
+			return now.Add(time.Duration(i-1) * s.width)
+		}
+		left -= s.counts[(s.latest+i)%int64(len(s.counts))]
+	}
+	return now.Add(time.Duration(len(s.counts)) * s.width)
+}
+
+// roll drops the counters that have left the window.
+func (s *Share) roll(now time.Time) {
+	if s.origin.IsZero() {
+		s.origin = now
+	}
+	number := int64(now.Sub(s.origin) / max(s.width, 1))
+	if number-s.latest >= int64(len(s.counts)) {
+		s.counts = [shareSlots + 1]float64{}
+		s.total, s.latest = 0, number
+	}
+	for s.latest < number {
+		s.latest++
+		slot := s.latest % int64(len(s.counts))
+		s.total -= s.counts[slot]
+		s.counts[slot] = 0
+	}
+}
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"bluebellhold/admission"
-	"bluebellhold/allotment"
 	"bluebellhold/id"
 )
 
@@ -97,23 +96,24 @@
 	LookupTTL time.Duration
 }
 
-// margin is the part of a fleet-wide bound that instances spend. The rest covers requests that arrive closer together
-// than they were sent and instances that count different members for a moment.
-const margin = 0.9
-
-// burstPart is the part of a window that may be spent at once; a larger one leaves too little for an even flow.
-const burstPart = 0.3
+const (
+	// margin is the part of a fleet-wide bound that instances spend. The rest covers requests that arrive closer
+	// together than they were sent and instances that count different members for a moment.
+	margin = 0.9
+	// excessPart is the part of the tolerated excess over an organisation's limit that instances spend. The rest
+	// covers parts that were computed from different heartbeats.
+	excessPart = 0.4
+)
 
-// rateWindow returns the window that binds an organisation.
-func (b Bounds) rateWindow(o Organisation) allotment.Window {
-	most := (float64(o.Rate)*b.RateWindow.Seconds()+float64(o.Burst))*(1+b.RateExcess*margin) + b.RateSlack*margin
-	return allotment.Window{Most: id.Tokens(most), Span: b.RateWindow, Burst: id.Tokens(most * burstPart)}
+// most returns what all instances together may admit of an organisation within the window.
+func (b Bounds) most(o Organisation) id.Tokens {
+	limit := float64(o.Rate)*b.RateWindow.Seconds() + float64(o.Burst)
+	return id.Tokens(limit*(1+b.RateExcess*excessPart) + b.RateSlack*excessPart)
 }
 
-// coldWindow returns the window that binds a cold upstream of a service.
-func (b Bounds) coldWindow(s Service) allotment.Window {
-	most := id.Tokens((s.ColdRate*b.ColdExcess + b.ColdSlack) * margin)
-	return allotment.Window{Most: most, Span: time.Second, Burst: most / 2}
+// mostCold returns what all instances together may send to a cold upstream of a service within a second.
+func (b Bounds) mostCold(s Service) id.Tokens {
+	return id.Tokens((s.ColdRate*b.ColdExcess + b.ColdSlack) * margin)
 }
 
 // hosts maps a host to its routes, the longest prefix first.
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -49,10 +49,11 @@
 	r.sends++
 	s.counts.Started++
 	r.service.line.Started(s.now)
-	r.service.chooser.Start(s.now, choice)
+	r.service.chooser.Start(s.now, choice, r.want)
 	s.emit(Dispatch{
 		Request: r.id, Organisation: r.organisation, Service: r.service.id, Upstream: u.ID, Incarnation: u.Incarnation,
 		Address: u.Address, Deadline: r.deadline, Idempotent: r.route.Idempotent,
+		Expected: choice.Finish,
 	})
 }
 
--- a/internal/entry/dump.go
+++ b/internal/entry/dump.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bluebellhold/id"
+	"bluebellhold/placement"
 )
 
 // Dump is the state of an instance without secrets.
@@ -20,6 +21,8 @@
 type DumpQueue struct {
 	Waiting   int `json:"waiting"`
 	Upstreams int `json:"upstreams"`
+	// Classes holds the measured work of each route.
+	Classes map[id.Route]placement.ClassDump `json:"classes"`
 }
 
 // Dump returns the state at the time now.
@@ -38,7 +41,7 @@
 				n++
 			}
 		}
-		d.Services[name] = DumpQueue{Waiting: svc.line.Len(), Upstreams: n}
+		d.Services[name] = DumpQueue{Waiting: svc.line.Len(), Upstreams: n, Classes: svc.chooser.Classes()}
 	}
 	return d
 }
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -24,6 +24,8 @@
 	Incarnation  id.Incarnation
 	Address      string
 	Deadline     time.Time
+	// Expected is how long the answer is expected to take.
+	Expected time.Duration
 	// Idempotent requests may use a connection that has been idle.
 	Idempotent bool
 	// Last is set if the answer of this attempt is final whatever it is.
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -47,9 +47,13 @@
 	Leaving    bool
 	// Version changes with each heartbeat.
 	Version uint64
+	// Started is when the process started, in its own clock; it tells a restart.
+	Started int64
+	// Demand is what callers ask of the instance per organisation and second.
+	Demand map[id.Organisation]float64
 }
 
-// MembersListed reports the heartbeats of all instances; ReadAt is when the answer came.
+// MembersListed reports the heartbeats of all instances.
 type MembersListed struct {
 	Members []Member
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -20,8 +20,11 @@
 type members struct {
 	self id.Instance
 	all  map[id.Instance]*member
-	// readAt is when the heartbeats were read last, and freshFor the time of reads since each of them changed.
+	// readAt is when the heartbeats were read last.
 	readAt time.Time
+	// started tells this process from its predecessors, of which predecessor is the last heartbeat.
+	started     int64
+	predecessor *Member
 }
 
 type member struct {
@@ -31,8 +34,8 @@
 	silentFor time.Duration
 }
 
-func newMembers(self id.Instance) members {
-	return members{self: self, all: make(map[id.Instance]*member)}
+func newMembers(self id.Instance, started int64) members {
+	return members{self: self, started: started, all: make(map[id.Instance]*member)}
 }
 
 // update takes a read of the heartbeats.
@@ -44,6 +47,9 @@
 	m.readAt = now
 	isRenewed := false
 	for _, e := range list {
+		if e.Instance == m.self && e.Started != m.started && m.predecessor == nil {
+			m.predecessor = &e
+		}
 		if known := m.all[e.Instance]; known == nil || known.Version != e.Version {
 			isRenewed = isRenewed || e.Instance == m.self
 			m.all[e.Instance] = &member{Member: e}
@@ -98,16 +104,32 @@
 	return names
 }
 
+// evenPart is the part of a limit that is divided evenly, whatever the demand, so that an instance whose callers are new
+// has some room and a view that is behind does little harm.
+const evenPart = 0.4
+
+// part returns this instance's part of an organisation's limit. All instances compute the parts from the demand that
+// each of them has published, this one included, so the parts add up to one where all have read the same.
+func (m *members) part(o id.Organisation) float64 {
+	even := 1 / float64(m.count())
+	var sum float64
+	for _, e := range m.all {
+		sum += e.Demand[o]
+	}
+	own := m.all[m.self]
+	if sum <= 0 || own == nil {
+		return even
+	}
+	return evenPart*even + (1-evenPart)*own.Demand[o]/sum
+}
+
 func (m *members) isServing(e *member) bool {
 	return !e.Leaving && e.silentFor < staleAfter
 }
 
 func (s *State) listMembers(list []Member) {
-	before := s.members.names()
 	s.members.update(s.now, list)
-	if !slices.Equal(before, s.members.names()) {
-		s.shareLimits()
-	}
+	s.shareLimits()
 }
 
 // Lookup returns the addresses that a caller in the region and data centre should use: the instances of its region
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -97,19 +97,16 @@
 	return r.route.Open || len(s.current.Organisations) == 0
 }
 
-// setDeadlines computes the request's times. A caller that comes back has less patience than a first attempt, which
-// tells how long ago the first attempt was.
+// setDeadlines computes the request's times.
 func (s *State) setDeadlines(r *request, patience time.Duration) {
 	if patience <= 0 || patience > longestDeadline {
 		patience = longestDeadline
 	}
-	most := max(s.patience[r.route.ID], patience)
-	s.patience[r.route.ID] = most
 	r.deadline = s.now.Add(patience)
 	if r.route.Timeout > 0 {
 		r.deadline = s.now.Add(min(patience, r.route.Timeout))
 	}
-	r.objectiveAt = s.now.Add(r.route.Objective - (most - patience))
+	r.objectiveAt = s.now.Add(r.route.Objective)
 }
 
 // restrict narrows the allowed regions to those of the organisation and reports whether any is left.
@@ -137,6 +134,7 @@
 	if o == nil || s.current.Organisations[name].Rate <= 0 {
 		return time.Time{}, true
 	}
+	o.demand.add(s.now)
 	if o.share.Take(s.now) {
 		return time.Time{}, true
 	}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -18,6 +18,8 @@
 	chooser *placement.Chooser
 	line    admission.Line
 	budget  *retry.Budget
+	// floor is the budget's number of retries per window whatever the traffic.
+	floor int
 }
 
 // placeUpstreams gives each service its upstreams. An upstream that is draining gets no new work and is left out.
@@ -57,12 +59,12 @@
 // share divides the bounds of the service among the instances.
 func (v *service) share(s *State, config Service) {
 	b := s.config.Bounds
-	v.chooser.Share(s.now, s.config.Instance, s.members.names(), b.coldWindow(config))
-	v.budget = retry.NewBudget(retry.BudgetConfig{
-		Ratio:  b.RetryRatio * margin,
-		Floor:  int(b.RetryExtra * margin / float64(s.members.count())),
-		Window: b.RetryWindow,
-	})
+	v.chooser.Share(s.now, s.config.Instance, s.members.names(), b.mostCold(config))
+	floor := int(b.RetryExtra * margin / float64(s.members.count()))
+	if v.budget == nil || floor != v.floor {
+		v.floor = floor
+		v.budget = retry.NewBudget(retry.BudgetConfig{Ratio: b.RetryRatio * margin, Floor: floor, Window: b.RetryWindow})
+	}
 }
 
 // split deals the requests of a route to its services in proportion to the weights.
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -17,6 +17,8 @@
 	Address string
 	Bounds  Bounds
 	Seed    uint64
+	// Started tells this process from others of the same name.
+	Started int64
 }
 
 // State is everything that one instance knows and decides with.
@@ -40,7 +42,6 @@
 	names         []id.Service
 	organisations map[id.Organisation]*organisation
 	splits        map[id.Route]*split
-	patience      map[id.Route]time.Duration
 	requests      map[id.Request]*request
 	isStopping    bool
 	counts        Counts
@@ -50,7 +51,10 @@
 
 // organisation is what an instance keeps for one organisation.
 type organisation struct {
-	share           allotment.Even
+	share allotment.Share
+	// demand is what callers have asked for, per second.
+	demand          demand
+	isRestored      bool
 	served, refused uint64
 }
 
@@ -65,11 +69,10 @@
 		config:        c,
 		random:        rand.New(rand.NewPCG(c.Seed, c.Seed>>1+1)),
 		upstreams:     make(map[id.Upstream]Upstream),
-		members:       newMembers(c.Instance),
+		members:       newMembers(c.Instance, c.Started),
 		services:      make(map[id.Service]*service),
 		organisations: make(map[id.Organisation]*organisation),
 		splits:        make(map[id.Route]*split),
-		patience:      make(map[id.Route]time.Duration),
 		requests:      make(map[id.Request]*request),
 	}
 }
@@ -153,7 +156,9 @@
 func (s *State) shareLimits() {
 	for name, o := range s.organisations {
 		if limit := s.current.Organisations[name]; limit.Rate > 0 {
-			o.share.Set(s.now, s.config.Bounds.rateWindow(limit), s.members.count())
+			most := s.config.Bounds.most(limit)
+			o.share.Set(s.now, id.Tokens(s.members.part(name))*most, s.config.Bounds.RateWindow)
+			s.restore(name, o)
 		}
 	}
 	for name, svc := range s.services {
@@ -161,6 +166,16 @@
 	}
 }
 
+// restore counts what a predecessor of this process may have spent, as its last heartbeat tells.
+func (s *State) restore(name id.Organisation, o *organisation) {
+	own := s.members.predecessor
+	if o.isRestored || own == nil {
+		return
+	}
+	o.isRestored = true
+	o.share.Assume(s.now, id.Tokens(own.Demand[name]*s.config.Bounds.RateWindow.Seconds()))
+}
+
 // list replaces the list of upstreams.
 func (s *State) list(upstreams []Upstream) {
 	s.isListed = true
--- a/internal/ingress/follow.go
+++ b/internal/ingress/follow.go
@@ -41,6 +41,7 @@
 	readAt      time.Time
 	returnedAt  time.Time
 	addresses   map[string]entry.Member
+	hasRead     bool
 }
 
 func newFollower(i *Instance) *follower {
@@ -175,7 +176,7 @@
 		if !isKnown {
 			return false
 		}
-		if now.Sub(f.returnedAt) < returnGrace && !before.Draining {
+		if now.Sub(f.returnedAt) < returnGrace && !before.Draining && !f.isOld(change.Version) {
 			f.vanished[change.Name] = f.returnedAt.Add(returnGrace)
 			return false
 		}
@@ -197,6 +198,18 @@
 	return !isKnown || !isSame(u, before, now)
 }
 
+// isOld reports whether most upstreams have written their rows after the version. The store then served them for a
+// while, and one whose row was removed before would have written it again.
+func (f *follower) isOld(version uint64) bool {
+	newer, rows := 0, f.upstreams.Rows()
+	for _, row := range rows {
+		if row.Version > version {
+			newer++
+		}
+	}
+	return newer*4 > len(rows)*3
+}
+
 // isSame reports whether two readings of an upstream differ only by the passing of time.
 func isSame(a, b entry.Upstream, now time.Time) bool {
 	if now.Before(a.ColdUntil) != now.Before(b.ColdUntil) {
@@ -208,9 +221,21 @@
 
 // beat writes this instance's heartbeat and reads those of all.
 func (f *follower) beat(ctx context.Context) error {
+	if !f.hasRead {
+		// The heartbeat of a predecessor must be read before it is overwritten.
+		if err := f.readMembers(ctx); err != nil {
+			return err
+		}
+		f.hasRead = true
+	}
 	if err := f.writeMember(ctx, f.isStopping.Load()); err != nil {
 		return err
 	}
+	return f.readMembers(ctx)
+}
+
+// readMembers takes in the heartbeats of all instances.
+func (f *follower) readMembers(ctx context.Context) error {
 	changes, err := f.members.Refresh(ctx, 0)
 	if err != nil {
 		return err
@@ -232,11 +257,19 @@
 	Region     id.Region     `json:"region"`
 	DataCentre id.DataCentre `json:"datacentre"`
 	Leaving    bool          `json:"leaving,omitempty"`
+	// Started tells processes of the same name apart.
+	Started int64 `json:"started"`
+	// Demand is in requests per second by organisation.
+	Demand map[id.Organisation]float64 `json:"demand,omitempty"`
 }
 
 func (f *follower) writeMember(ctx context.Context, isLeaving bool) error {
+	f.m.Lock()
+	demand := f.state.Demand(time.Now())
+	f.m.Unlock()
 	value, err := json.Marshal(member{
 		Address: f.config.Callers, Region: f.config.Region, DataCentre: f.config.DataCentre, Leaving: isLeaving,
+		Started: f.started, Demand: demand,
 	})
 	if err != nil {
 		return err
@@ -256,7 +289,7 @@
 	}
 	f.addresses[change.Name] = entry.Member{
 		Instance: id.Instance(change.Name), Region: m.Region, DataCentre: m.DataCentre, Address: m.Address,
-		Leaving: m.Leaving, Version: change.Version,
+		Leaving: m.Leaving, Version: change.Version, Started: m.Started, Demand: m.Demand,
 	}
 }
 
--- a/internal/ingress/instance.go
+++ b/internal/ingress/instance.go
@@ -31,6 +31,7 @@
 // Instance is one entry instance. It is safe for concurrent use.
 type Instance struct {
 	config   Config
+	started  int64
 	log      *log.Logger
 	registry metrics.Registry
 	meters   meters
@@ -58,7 +59,9 @@
 	if c.Registry == nil {
 		c.Registry = metrics.NewRegistry()
 	}
+	started := time.Now().UnixNano()
 	i := &Instance{
+		started:  started,
 		config:   c,
 		log:      c.Log,
 		registry: c.Registry,
@@ -66,7 +69,7 @@
 		journal:  newJournal(c.Log),
 		state: entry.New(entry.Config{
 			Instance: c.Instance, Region: c.Region, DataCentre: c.DataCentre, Address: c.Callers, Bounds: c.Bounds,
-			Seed: uint64(time.Now().UnixNano()),
+			Seed: uint64(started), Started: started,
 		}),
 		exchanges: make(map[id.Request]*exchange),
 		pool:      newPool(),
@@ -124,6 +127,7 @@
 	defer stopFollowing()
 	f := newFollower(i)
 	f.start(following)
+	i.work.Go(func() { i.summarise(following) })
 	i.log.Info("instance: started", "instance", i.config.Instance, "callers", i.config.Callers)
 	<-ctx.Done()
 	i.log.Info("instance: stopping")
@@ -136,6 +140,30 @@
 	return nil
 }
 
+// summaryEvery is the pace of the log lines that sum up what the instance does.
+const summaryEvery = 5 * time.Second
+
+// summarise logs the state in short at a fixed pace.
+func (i *Instance) summarise(ctx context.Context) {
+	ticker := time.NewTicker(summaryEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		i.m.Lock()
+		dump := i.state.Dump(time.Now())
+		i.m.Unlock()
+		i.log.Info("instance: summary", "version", dump.Version, "members", len(dump.Members), "counts", dump.Counts)
+		for name, queue := range dump.Services {
+			i.log.Info("instance: service", "service", name, "waiting", queue.Waiting, "upstreams", queue.Upstreams,
+				"classes", queue.Classes)
+		}
+	}
+}
+
 const (
 	// lingerPart is the part of the grace during which a stopping instance still takes new connections, since callers
 	// keep the answer of a look-up for some seconds.
--- a/internal/ingress/journal.go
+++ b/internal/ingress/journal.go
@@ -84,8 +84,9 @@
 	if !ok {
 		return
 	}
-	j.add("request: answered", "id", x.caller.Attempt, "upstream", d.Upstream, "status", a.Status,
-		"took", a.Elapsed, "total", time.Since(x.started))
+	j.add("request: answered", "id", x.caller.Attempt, "service", d.Service, "object", x.caller.Object,
+		"upstream", d.Upstream, "status", a.Status, "took", a.Elapsed, "total", time.Since(x.started),
+		"expected", d.Expected, "load", a.Load)
 }
 
 func (j *journal) unreached(x *exchange, d entry.Dispatch, err error) {
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"bluebellhold/allotment"
 	"bluebellhold/id"
 )
 
@@ -42,9 +41,11 @@
 	classes map[id.Route]*class
 	paths   map[id.Region]time.Duration
 	closed  map[id.DataCentre]bool
-	cold    allotment.Window
+	cold    id.Tokens
 	members []id.Instance
 	self    id.Instance
+	objects objects
+	regions []site
 }
 
 // New returns a Chooser without upstreams.
@@ -68,7 +69,7 @@
 	for _, u := range list {
 		known := c.upstreams[u.ID]
 		if known == nil || known.Incarnation != u.Incarnation {
-			known = &upstream{hash: hashText(string(u.ID)), slowness: 1, works: make(map[string]sample)}
+			known = &upstream{hash: hashText(string(u.ID)), slowness: 1, works: make(map[string]sample), running: make(map[string]int)}
 		}
 		if now.Before(u.ColdUntil) && !now.Before(known.ColdUntil) {
 			// A cold upstream has lost what it remembered.
@@ -85,30 +86,36 @@
 		}
 		return 1
 	})
+	c.regions = c.sites()
 	c.shareCold(now)
 }
 
 // Close stops all new work for the upstreams of the data centres and reopens the others.
 func (c *Chooser) Close(dataCentres map[id.DataCentre]bool) {
 	c.closed = dataCentres
+	c.regions = c.sites()
 }
 
-// Share tells the instances that place requests of the service and the window that binds a cold upstream.
-func (c *Chooser) Share(now time.Time, self id.Instance, members []id.Instance, cold allotment.Window) {
+// Share tells the instances that place requests of the service and how many requests per second all of them together
+// may send to a cold upstream.
+func (c *Chooser) Share(now time.Time, self id.Instance, members []id.Instance, cold id.Tokens) {
 	c.self, c.members, c.cold = self, members, cold
 	c.shareCold(now)
 }
 
-// leastColdPart is the smallest part of a cold upstream's window that is worth holding: one request at once and one
-// more within the window.
-const leastColdPart = 2
+const (
+	// leastColdPart is the smallest part of a cold upstream's rate that is worth holding.
+	leastColdPart = 2
+	// coldWindow is the span over which a cold upstream's rate is counted.
+	coldWindow = time.Second
+)
 
 // shareCold divides the cold window of each upstream among as many instances as get a useful part.
 func (c *Chooser) shareCold(now time.Time) {
-	holders := min(max(int(c.cold.Most/leastColdPart), 1), max(len(c.members), 1))
+	holders := min(max(int(c.cold/leastColdPart), 1), max(len(c.members), 1))
 	for _, u := range c.ordered {
 		u.mayCold = c.coldRank(u) < holders
-		u.cold.Set(now, c.cold, holders)
+		u.cold.Set(now, c.cold/id.Tokens(holders), coldWindow)
 	}
 }
 
@@ -136,6 +143,10 @@
 	Avoid []id.Upstream
 }
 
+func (w Want) allows(region id.Region) bool {
+	return len(w.Regions) == 0 || slices.Contains(w.Regions, region)
+}
+
 // Choice is the upstream that would finish a request first.
 type Choice struct {
 	Upstream id.Upstream
@@ -147,25 +158,37 @@
 	familiarity familiarity
 	expected    time.Duration
 	path        time.Duration
-	isColdToken bool
+	// isClean is set if the upstream was not expected to let the request wait, so that the time tells the work.
+	isClean bool
 }
 
-// crowdedRoom is the part of an upstream's slots that may wait at the upstream, so that a freed slot finds work
-// although the instance hears of it only with the answer.
-const crowdedRoom = 0.25
-
 // Choose returns the upstream that is expected to finish the request first, among those with room if there are any.
+//
+// A request with an object considers only the object's homes, unless none of them can be used: a cold run elsewhere
+// would take the room of several warm ones.
 func (c *Chooser) Choose(now time.Time, w Want) (Choice, bool) {
 	cl := c.class(w)
-	object := hashText(w.Object)
-	homes := c.homes(now, w, object)
+	weight := workWeightAt(c.utilisation(now))
+	if w.Object != "" {
+		c.objects.see(now, objectKey{w.Class, w.Object})
+		if choice, ok := c.best(now, w, cl, weight, c.homes(now, w), true); ok {
+			return choice, true
+		}
+	}
+	return c.best(now, w, cl, weight, c.ordered, false)
+}
+
+// best returns the cheapest of the candidates.
+func (c *Chooser) best(
+	now time.Time, w Want, cl *class, weight float64, candidates []*upstream, isHome bool,
+) (Choice, bool) {
 	var best, full Choice
 	var bestCost, fullCost time.Duration
-	for _, u := range c.ordered {
+	for _, u := range candidates {
 		if !c.isUsable(now, u, w) {
 			continue
 		}
-		choice, cost := c.estimate(now, u, w, cl, homes[u.Region] == u)
+		choice, cost := c.estimate(now, u, w, cl, isHome, weight)
 		switch {
 		case choice.HasRoom && (best.Upstream == "" || cost < bestCost):
 			best, bestCost = choice, cost
@@ -179,29 +202,31 @@
 	return best, true
 }
 
-// homes returns the home of an object in each region.
-func (c *Chooser) homes(now time.Time, w Want, object uint64) map[id.Region]*upstream {
-	if w.Object == "" {
-		return nil
-	}
-	homes := make(map[id.Region]*upstream, len(c.paths)+1)
-	scores := make(map[id.Region]float64, len(c.paths)+1)
+const (
+	// crowdedAbove is the part of the slots in use above which the work counts for more than its own time.
+	crowdedAbove = 0.5
+	// busiestWeight is the weight of the work when all slots are in use: the work then delays others as well.
+	busiestWeight = 3.0
+)
+
+// workWeightAt returns how much the work counts besides the time that the request itself takes.
+func workWeightAt(utilisation float64) float64 {
+	return 1 + (busiestWeight-1)*min(max((utilisation-crowdedAbove)/(1-crowdedAbove), 0), 1)
+}
+
+// utilisation is the part of all slots that is estimated to be in use.
+func (c *Chooser) utilisation(now time.Time) float64 {
+	var busy, slots float64
 	for _, u := range c.ordered {
-		if c.closed[u.DataCentre] || u.failures > 0 && now.Before(u.retryAt) {
-			continue
-		}
-		if s := score(object, u.hash, u.Slots); s > scores[u.Region] {
-			homes[u.Region], scores[u.Region] = u, s
-		}
+		busy += min(float64(u.inFlight)+u.othersNow(now), float64(u.Slots))
+		slots += float64(u.Slots)
 	}
-	return homes
+	return busy / max(slots, 1)
 }
 
 func (c *Chooser) isUsable(now time.Time, u *upstream, w Want) bool {
 	switch {
-	case c.closed[u.DataCentre], len(w.Regions) > 0 && !slices.Contains(w.Regions, u.Region):
-		return false
-	case slices.Contains(w.Avoid, u.ID):
+	case c.closed[u.DataCentre], !w.allows(u.Region), slices.Contains(w.Avoid, u.ID):
 		return false
 	case u.failures > 0 && (now.Before(u.retryAt) || u.inFlight > 0):
 		return false
@@ -231,7 +256,7 @@
 const coldFactor = 2
 
 // estimate predicts the time to finish at one upstream, and the cost that includes the price of the transfer.
-func (c *Chooser) estimate(now time.Time, u *upstream, w Want, cl *class, isHome bool) (Choice, time.Duration) {
+func (c *Chooser) estimate(now time.Time, u *upstream, w Want, cl *class, isHome bool, weight float64) (Choice, time.Duration) {
 	work, f := u.expect(now, w, cl, isHome)
 	expected := work
 	work = time.Duration(float64(work) * u.slowFactor(now))
@@ -242,17 +267,28 @@
 	busy := float64(u.inFlight) + u.othersNow(now)
 	var wait time.Duration
 	if busy >= slots {
-		wait = time.Duration((busy - slots + 1) / slots * float64(cl.repeat))
+		wait = time.Duration((busy - slots + 1) / slots * float64(cl.home))
 	}
 	path := c.path(u)
+	hasRoom := busy < slots || u.inFlight < c.ownPart(u)
+	if f != repeated && w.Object != "" && u.running[w.Object] > 0 {
+		// The first request for the object makes it warm; one that waits for that needs a fraction of the work.
+		hasRoom = false
+	}
 	choice := Choice{
-		Upstream: u.ID, Finish: path + wait + work, HasRoom: busy < slots+max(slots*crowdedRoom, 1),
-		familiarity: f, expected: expected, path: path,
+		Upstream: u.ID, Finish: path + wait + work, HasRoom: hasRoom,
+		familiarity: f, expected: expected, path: path, isClean: busy < slots,
 	}
-	cost := choice.Finish + time.Duration(u.shedNow(now)*float64(cl.cold))
+	cost := choice.Finish + time.Duration((weight-1)*float64(work)) + time.Duration(u.shedNow(now)*float64(cl.cold))
 	return choice, cost + c.transfer(u, cl)
 }
 
+// ownPart is the number of requests that this instance may have at an upstream whatever the others are estimated to
+// have there: an equal part of the slots, and at least one so that an estimate that is too high corrects itself.
+func (c *Chooser) ownPart(u *upstream) int {
+	return max(int(u.Slots)/max(len(c.members), 1), 1)
+}
+
 // transfer is the delay that stands for the price of moving an answer across a border.
 func (c *Chooser) transfer(u *upstream, cl *class) time.Duration {
 	kilobytes := cl.size / 1000
--- a/placement/class.go
+++ b/placement/class.go
@@ -19,6 +19,8 @@
 	cold, repeat, home time.Duration
 	// size is the average size of an answer.
 	size float64
+	// counts holds the number of answers by familiarity.
+	counts [repeated + 1]uint64
 }
 
 func newClass(expected time.Duration) *class {
@@ -36,6 +38,7 @@
 )
 
 func (c *class) learn(f familiarity, work time.Duration) {
+	c.counts[f]++
 	average := &c.cold
 	switch f {
 	case repeated:
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -48,12 +48,15 @@
 func (Abandoned) isOutcome()   {}
 
 // Start records that a request is sent as chosen.
-func (c *Chooser) Start(now time.Time, choice Choice) {
+func (c *Chooser) Start(now time.Time, choice Choice, w Want) {
 	u := c.upstreams[choice.Upstream]
 	if u == nil {
 		return
 	}
 	u.inFlight++
+	if w.Object != "" {
+		u.running[w.Object]++
+	}
 	if u.isCold(now) {
 		u.cold.Take(now)
 	}
@@ -66,6 +69,9 @@
 		return
 	}
 	u.inFlight = max(u.inFlight-1, 0)
+	if u.running[w.Object]--; u.running[w.Object] <= 0 {
+		delete(u.running, w.Object)
+	}
 	switch o := o.(type) {
 	case Served:
 		u.failures = 0
@@ -118,8 +124,11 @@
 // learnWork takes the work out of the elapsed time and keeps it for the object and the class.
 func (u *upstream) learnWork(now time.Time, choice Choice, w Want, cl *class, o Served) {
 	work := max(o.Elapsed-choice.path, time.Millisecond)
-	u.slow(now, float64(work)/float64(max(choice.expected, time.Millisecond)))
-	if !u.isCold(now) {
+	isClean := choice.isClean && (o.Load == nil || o.Load.Waiting == 0)
+	if isClean {
+		u.slow(now, float64(work)/float64(max(choice.expected, time.Millisecond)))
+	}
+	if isClean && !u.isCold(now) {
 		cl.learn(choice.familiarity, work)
 	}
 	cl.learnSize(o.Size)
@@ -130,8 +139,8 @@
 		u.forgetOldest()
 	}
 	// What the upstream has just handled is warm now, whatever this request took.
-	next := min(work, cl.repeat*2)
-	if choice.familiarity == repeated {
+	next := cl.repeat
+	if choice.familiarity == repeated && isClean {
 		next = work
 	}
 	u.works[w.Object] = sample{work: next, at: now}
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -45,11 +45,13 @@
 	shed   float64
 	shedAt time.Time
 	// cold is this instance's part of the cold rate, and mayCold is false where other instances hold all parts.
-	cold     allotment.Even
+	cold     allotment.Share
 	mayCold  bool
 	suspects time.Time
 	// works holds the last measured work per object.
 	works map[string]sample
+	// running counts this instance's requests in flight per object.
+	running map[string]int
 }
 
 type sample struct {
