Start with few homes and count objects before adding more

Cause: until an instance had seen the objects it took their number for small and gave each object a home everywhere. Logs of all instances show that an upstream keeps an object until others displace it, whatever the time between two requests (median 145 ms up to gaps of 20 s, 470 ms for the first request).

Ruled out: a limit in time on what upstreams remember.

--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -270,7 +270,7 @@
 		wait = time.Duration((busy - slots + 1) / slots * float64(cl.home))
 	}
 	path := c.path(u)
-	hasRoom := busy < slots || u.inFlight < c.ownPart(u)
+	hasRoom := busy < slots || u.mayProbe(now)
 	if f != repeated && w.Object != "" && u.running[w.Object] > 0 {
 		// The first request for the object makes it warm; one that waits for that needs a fraction of the work.
 		hasRoom = false
@@ -283,10 +283,13 @@
 	return choice, cost + c.transfer(u, cl)
 }
 
-// ownPart is the number of requests that this instance may have at an upstream whatever the others are estimated to
-// have there: an equal part of the slots, and at least one so that an estimate that is too high corrects itself.
-func (c *Chooser) ownPart(u *upstream) int {
-	return max(int(u.Slots)/max(len(c.members), 1), 1)
+// probeAfter is the time without news of an upstream's load after which one request is sent there although it is
+// believed to be full; it is about the time that a warm request takes.
+const probeAfter = 300 * time.Millisecond
+
+// mayProbe reports whether one request should find out if the upstream is still full.
+func (u *upstream) mayProbe(now time.Time) bool {
+	return u.inFlight == 0 && now.Sub(u.othersAt) > probeAfter
 }
 
 // transfer is the delay that stands for the price of moving an answer across a border.
--- a/placement/home.go
+++ b/placement/home.go
@@ -12,10 +12,10 @@
 const (
 	// objectsPerUpstream is the number of objects that are settled on one upstream. Upstreams remember 25 to 50; the
 	// rest is for objects that spill over and for uneven hashing.
-	objectsPerUpstream = 20
+	objectsPerUpstream = 12
 	// copiesPerRegion is the largest number of homes of an object in one region; the second takes what the first has no
 	// room for.
-	copiesPerRegion = 2
+	copiesPerRegion = 1
 	// objectSeenFor is how long an object counts after its last request.
 	objectSeenFor = 10 * time.Second
 	// objectsChange is the relative change of the number of objects that is followed; smaller ones would move homes
@@ -50,8 +50,9 @@
 // objects counts the objects that requests have concerned lately.
 type objects struct {
 	seen map[objectKey]time.Time
-	// count is the number that homes are computed from.
+	// count is the number that homes are computed from, and zero until requests have been seen for long enough.
 	count   int
+	since   time.Time
 	sweptAt time.Time
 }
 
@@ -66,6 +67,7 @@
 func (o *objects) see(now time.Time, key objectKey) {
 	if o.seen == nil {
 		o.seen = make(map[objectKey]time.Time)
+		o.since = now
 	}
 	o.seen[key] = now
 	if now.Sub(o.sweptAt) < sweepEvery {
@@ -77,7 +79,7 @@
 			delete(o.seen, k)
 		}
 	}
-	if math.Abs(float64(len(o.seen)-o.count)) > objectsChange*float64(o.count) {
+	if now.Sub(o.since) >= objectSeenFor && math.Abs(float64(len(o.seen)-o.count)) > objectsChange*float64(o.count) {
 		o.count = len(o.seen)
 	}
 }
@@ -126,7 +128,7 @@
 		if len(s.upstreams) == 0 || !w.allows(s.region) {
 			continue
 		}
-		room := float64(len(s.upstreams)*objectsPerUpstream) / float64(max(c.objects.count, 1))
+		room := c.room(s)
 		if unit(object, s.hash) < room {
 			homes = s.top(now, object, min(max(int(room), 1), copiesPerRegion), homes)
 		}
@@ -140,6 +142,16 @@
 	return homes
 }
 
+// room is the number of times that the region's upstreams can remember all objects. Until the objects have been counted
+// it is assumed that they just fit into all regions together: homes that are added later cost less than homes that are
+// given up.
+func (c *Chooser) room(s *site) float64 {
+	if c.objects.count == 0 {
+		return float64(len(s.upstreams)) / float64(max(len(c.ordered), 1))
+	}
+	return float64(len(s.upstreams)*objectsPerUpstream) / float64(c.objects.count)
+}
+
 // top appends the n upstreams of the site that rank first for an object, without those that are known to fail.
 func (s *site) top(now time.Time, object uint64, n int, homes []*upstream) []*upstream {
 	var first, second *upstream
