--- /dev/null
+++ b/allotment/window_test.go
@@ -0,0 +1,78 @@
+package allotment_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bluebellhold/allotment"
+	"bluebellhold/id"
+)
+
+const shareSpan = 5 * time.Second
+
+// Guards against parts that together admit more than the whole within some window, whatever the arrivals.
+func TestShareHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		most := float64(rapid.IntRange(4, 60).Draw(t, "most"))
+		parts := []float64{0.5, 0.3, 0.2}
+		shares := make([]allotment.Share, len(parts))
+		now := time.Unix(100, 0)
+		for i := range shares {
+			shares[i].Set(now, id.Tokens(parts[i]*most), shareSpan)
+		}
+		var taken []time.Time
+		for range rapid.IntRange(50, 300).Draw(t, "arrivals") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "gap")) * time.Millisecond)
+			if shares[rapid.IntRange(0, len(parts)-1).Draw(t, "instance")].Take(now) {
+				taken = append(taken, now)
+			}
+		}
+		for i, from := range taken {
+			n := 0
+			for _, at := range taken[i:] {
+				if at.Sub(from) < shareSpan {
+					n++
+				}
+			}
+			require.LessOrEqual(t, float64(n), most, "within the window from %v", from)
+		}
+	})
+}
+
+// Guards against a restarted process that spends again what its predecessor has just spent.
+func TestShareCountsWhatAPredecessorSpent(t *testing.T) {
+	now := time.Unix(100, 0)
+	var s allotment.Share
+	s.Set(now, 10, shareSpan)
+	s.Assume(now, 10)
+	require.False(t, s.Take(now))
+	require.False(t, s.Take(now.Add(400*time.Millisecond)))
+	require.True(t, s.Take(now.Add(shareSpan)))
+}
+
+// Guards against a time to come back at which there is still no token.
+func TestShareNextAtIsWhenATokenIsThere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(100, 0)
+		var s allotment.Share
+		s.Set(now, 3, shareSpan)
+		for range rapid.IntRange(3, 40).Draw(t, "arrivals") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "gap")) * time.Millisecond)
+			s.Take(now)
+		}
+		at := s.NextAt(now)
+		require.True(t, s.Take(at))
+	})
+}
+
+// Guards against a part below one token that lets requests through at its first use.
+func TestShareBelowOneTokenAdmitsNothing(t *testing.T) {
+	now := time.Unix(100, 0)
+	var s allotment.Share
+	s.Set(now, 0.5, shareSpan)
+	require.False(t, s.Take(now))
+	require.True(t, s.NextAt(now).After(now.Add(shareSpan)))
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -147,8 +147,7 @@
 	r.want.Avoid = append(r.want.Avoid, r.choice.Upstream)
 	r.stage = stageWaiting
 	switch {
-	case r.isGone, r.deadline.Sub(s.now) < leastRetryTime, s.isStopping && r.mayHaveRun == 0 && r.sends > maxSends,
-		r.sends > maxSends, !r.service.budget.Take(s.now):
+	case r.isGone, r.deadline.Sub(s.now) < leastRetryTime, r.sends > maxSends, !r.service.budget.Take(s.now):
 		refusal.After = r.service.line.Return(s.now, s.random.Float64())
 		s.refuse(r, refusal)
 		return
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -19,6 +19,8 @@
 const (
 	// answerLimit is the largest answer that is held in memory before it is passed on.
 	answerLimit = 8 << 20
+	// maxForeign bounds the answers to earlier requests that are skipped.
+	maxForeign = 3
 	// maxInterim bounds the interim answers before the final one.
 	maxInterim = 8
 )
@@ -62,10 +64,11 @@
 			c.close()
 		}
 	}()
-	x.setStop(c.interrupt)
 	if err := c.conn.SetDeadline(d.Deadline); err != nil {
 		return entry.Unsent{Stale: true}, c.isReused
 	}
+	// After the deadline, which would undo an interruption.
+	x.setStop(c.interrupt)
 	n, err := c.conn.Write(x.head(d))
 	if err != nil {
 		if n == 0 && !x.wasCancelled() {
@@ -73,7 +76,7 @@
 		}
 		return x.failure(started, err), false
 	}
-	ending, isKept = x.readAnswer(c, d, started)
+	ending, isKept = x.readAnswer(c, started)
 	if isKept {
 		x.pool.put(d, c)
 	}
@@ -112,36 +115,59 @@
 	return b.Bytes()
 }
 
+// received is an answer that has been read whole.
+type received struct {
+	response *http.Response
+	said     Answer
+	body     []byte
+}
+
 // readAnswer reads the answer and reports whether the connection can be kept.
-func (x *exchange) readAnswer(c *connection, d entry.Dispatch, started time.Time) (entry.Ending, bool) {
-	response, err := readResponse(c.reader, x.r)
+func (x *exchange) readAnswer(c *connection, started time.Time) (entry.Ending, bool) {
+	a, err := x.readOwn(c)
 	if err != nil {
 		return x.failure(started, err), false
 	}
-	said := x.config.Headers.Answer(response.StatusCode, response.Header)
-	if said.Attempt != "" && said.Attempt != x.caller.Attempt || response.Header.Get("Content-Encoding") != "" {
-		return x.failure(started, &AnswerError{Status: response.StatusCode}), false
-	}
-	body, err := readAll(response)
-	if err != nil {
-		return x.failure(started, err), false
-	}
-	isKept := !response.Close && response.ContentLength >= 0 && c.reader.Buffered() == 0
+	status, header := a.response.StatusCode, a.response.Header
+	isKept := !a.response.Close && c.reader.Buffered() == 0
 	if isKept {
-		c.keepUntil(response.Header.Get("Keep-Alive"))
+		c.keepUntil(header.Get("Keep-Alive"))
 	}
 	switch {
-	case said.IsMisdirected:
+	case a.said.IsMisdirected:
 		return entry.Misdirected{}, isKept
-	case said.IsNotExecuted && response.StatusCode >= http.StatusBadRequest:
-		return entry.Rejected{Load: said.Load}, isKept
-	case !said.IsSigned:
-		return x.failure(started, &AnswerError{Status: response.StatusCode}), false
+	case a.said.IsNotExecuted && status >= http.StatusBadRequest:
+		return entry.Rejected{Load: a.said.Load}, isKept
+	case !a.said.IsSigned || a.said.Attempt != x.caller.Attempt || header.Get("Content-Encoding") != "":
+		return x.failure(started, &AnswerError{Status: status}), false
 	}
-	header := response.Header
 	removeHopHeaders(header)
-	x.answer = &answer{status: response.StatusCode, header: header, body: body}
-	return x.answered(response.StatusCode, len(body), started, said.Load), isKept
+	x.answer = &answer{status: status, header: header, body: a.body}
+	return x.answered(status, len(a.body), started, a.said.Load), isKept
+}
+
+// readOwn reads answers until one does not name another request. An upstream may send a second answer to an earlier
+// request late, on a connection that has been used again; the right answer follows it.
+func (x *exchange) readOwn(c *connection) (received, error) {
+	for range maxForeign {
+		response, err := readResponse(c.reader, x.r)
+		if err != nil {
+			return received{}, err
+		}
+		body, err := readAll(response)
+		if err != nil {
+			return received{}, err
+		}
+		said := x.config.Headers.Answer(response.StatusCode, response.Header)
+		if said.Attempt == "" || said.Attempt == x.caller.Attempt {
+			return received{response, said, body}, nil
+		}
+		x.journal.foreign(x, said.Attempt)
+		if response.Close {
+			break
+		}
+	}
+	return received{}, &AnswerError{}
 }
 
 func (x *exchange) answered(status, size int, started time.Time, load *placement.Load) entry.Ending {
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -151,7 +151,6 @@
 	switch e := effect.(type) {
 	case entry.Dispatch:
 		x.dispatch = e
-		x.journal.dispatched(x, e)
 		ending := x.attempt(e)
 		x.journal.ended(x, e, ending)
 		x.Post(entry.AttemptEnded{Request: x.id, Ending: ending})
--- a/internal/ingress/journal.go
+++ b/internal/ingress/journal.go
@@ -76,9 +76,6 @@
 	return j.count <= journalRate
 }
 
-func (j *journal) dispatched(x *exchange, d entry.Dispatch) {
-}
-
 func (j *journal) ended(x *exchange, d entry.Dispatch, e entry.Ending) {
 	a, ok := e.(entry.Answered)
 	if !ok {
@@ -97,6 +94,11 @@
 	j.add("request: attempt broken", "id", x.caller.Attempt, "upstream", x.dispatch.Upstream, "error", err)
 }
 
+func (j *journal) foreign(x *exchange, attempt string) {
+	j.add("request: late answer to another request skipped", "id", x.caller.Attempt, "upstream", x.dispatch.Upstream,
+		"other", attempt)
+}
+
 func (j *journal) refused(x *exchange, r entry.Refusal, status int) {
 	j.add("request: refused", "id", x.caller.Attempt, "code", r.Code, "status", status, "ran", r.Ran,
 		"after", time.Since(x.started))
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,151 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bluebellhold/id"
+	"bluebellhold/placement"
+)
+
+var start = time.Unix(1000, 0)
+
+// fleet returns n upstreams in each region, of 4 slots each.
+func fleet(n int, regions ...id.Region) []placement.Upstream {
+	var list []placement.Upstream
+	for _, region := range regions {
+		for i := range n {
+			list = append(list, placement.Upstream{
+				ID: id.Upstream(fmt.Sprintf("%s-%d", region, i)), Region: region,
+				DataCentre: id.DataCentre(string(region) + "-a"), Slots: 4,
+			})
+		}
+	}
+	return list
+}
+
+func newChooser(region id.Region, list []placement.Upstream) *placement.Chooser {
+	c := placement.New(placement.Config{Region: region, DataCentre: id.DataCentre(string(region) + "-a")})
+	c.Set(start, list)
+	c.Share(start, "instance", []id.Instance{"instance"}, 20)
+	return c
+}
+
+func want(object string) placement.Want {
+	return placement.Want{Object: object, Class: "route", Expected: 400 * time.Millisecond}
+}
+
+// Guards against instances that settle an object on different upstreams.
+func TestInstancesOfARegionAgreeOnTheHome(t *testing.T) {
+	list := fleet(5, "osrednja", "koper")
+	a, b := newChooser("osrednja", list), newChooser("osrednja", list)
+	for i := range 100 {
+		w := want(fmt.Sprint(i))
+		first, ok := a.Choose(start, w)
+		require.True(t, ok)
+		second, _ := b.Choose(start, w)
+		require.Equal(t, first.Upstream, second.Upstream)
+	}
+}
+
+// Guards against a change of members that moves objects between upstreams that stay.
+func TestALostUpstreamMovesOnlyItsObjects(t *testing.T) {
+	list := fleet(6, "osrednja")
+	before, after := newChooser("osrednja", list), newChooser("osrednja", list[1:])
+	moved := 0
+	for i := range 200 {
+		w := want(fmt.Sprint(i))
+		from, _ := before.Choose(start, w)
+		to, _ := after.Choose(start, w)
+		if from.Upstream == list[0].ID {
+			moved++
+			continue
+		}
+		require.Equal(t, from.Upstream, to.Upstream)
+	}
+	require.Positive(t, moved)
+}
+
+// Guards against requests in places that the route or organisation does not allow, that are evacuated, or that have
+// already had the request.
+func TestChooseKeepsToWhatIsAllowed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newChooser("osrednja", fleet(3, "osrednja", "koper", "stajerska"))
+		c.Close(map[id.DataCentre]bool{"koper-a": true})
+		w := want(fmt.Sprint(rapid.IntRange(0, 500).Draw(t, "object")))
+		w.Regions = []id.Region{"koper", "stajerska"}
+		w.Avoid = []id.Upstream{"stajerska-0"}
+		choice, ok := c.Choose(start, w)
+		require.True(t, ok)
+		require.Contains(t, []id.Upstream{"stajerska-1", "stajerska-2"}, choice.Upstream)
+		w.Regions = []id.Region{"koper"}
+		_, ok = c.Choose(start, w)
+		require.False(t, ok)
+	})
+}
+
+// Guards against a cold upstream that gets more than its rate from all instances together.
+func TestInstancesShareTheColdRate(t *testing.T) {
+	const instances, most = 7, 16
+	var members []id.Instance
+	for i := range instances {
+		members = append(members, id.Instance(fmt.Sprint("instance-", i)))
+	}
+	list := fleet(1, "osrednja")
+	list[0].ColdUntil = start.Add(time.Hour)
+	sent := 0
+	for _, self := range members {
+		c := placement.New(placement.Config{Region: "osrednja", DataCentre: "osrednja-a"})
+		c.Set(start, list)
+		c.Share(start, self, members, most)
+		for i := range 100 {
+			now := start.Add(time.Duration(i) * 9 * time.Millisecond)
+			w := want("")
+			if choice, ok := c.Choose(now, w); ok {
+				c.Start(now, choice, w)
+				c.End(now, choice, w, placement.Abandoned{})
+				sent++
+			}
+		}
+	}
+	require.LessOrEqual(t, sent, most)
+	require.GreaterOrEqual(t, sent, most/2)
+}
+
+// Guards against sending on to an upstream that can't be reached, and against never trying it again.
+func TestAnUnreachedUpstreamIsTriedAgainGently(t *testing.T) {
+	c := newChooser("osrednja", fleet(2, "osrednja"))
+	w := want("7")
+	home, _ := c.Choose(start, w)
+	c.Start(start, home, w)
+	c.End(start, home, w, placement.Unreached{})
+	other, _ := c.Choose(start, w)
+	require.NotEqual(t, home.Upstream, other.Upstream)
+	later := start.Add(300 * time.Millisecond)
+	again, _ := c.Choose(later, w)
+	require.Equal(t, home.Upstream, again.Upstream)
+	c.Start(later, again, w)
+	next, _ := c.Choose(later, w)
+	require.NotEqual(t, home.Upstream, next.Upstream, "one request at a time finds out")
+}
+
+// Guards against several cold runs of one object at the same upstream, of which all but the first could have waited
+// for a warm run.
+func TestOneColdRunOfAnObjectAtATime(t *testing.T) {
+	c := newChooser("osrednja", fleet(1, "osrednja"))
+	w := want("7")
+	first, _ := c.Choose(start, w)
+	require.True(t, first.HasRoom)
+	c.Start(start, first, w)
+	second, _ := c.Choose(start, w)
+	require.False(t, second.HasRoom)
+	other, _ := c.Choose(start, want("8"))
+	require.True(t, other.HasRoom)
+	c.End(start, first, w, placement.Served{Elapsed: 400 * time.Millisecond})
+	third, _ := c.Choose(start, w)
+	require.True(t, third.HasRoom)
+}
--- /dev/null
+++ b/store/mirror_test.go
@@ -0,0 +1,93 @@
+package store_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhold/store"
+)
+
+// scriptedFeed answers from lists; an answer with an error is returned as such.
+type scriptedFeed struct {
+	changes   []scriptedAnswer
+	snapshots []scriptedAnswer
+}
+
+type scriptedAnswer struct {
+	store.Changes
+	err error
+}
+
+func (f *scriptedFeed) Changes(context.Context, string, uint64, time.Duration) (store.Changes, error) {
+	a := f.changes[0]
+	f.changes = f.changes[1:]
+	return a.Changes, a.err
+}
+
+func (f *scriptedFeed) Snapshot(context.Context, string) (store.Changes, error) {
+	a := f.snapshots[0]
+	f.snapshots = f.snapshots[1:]
+	return a.Changes, a.err
+}
+
+func (f *scriptedFeed) Put(context.Context, string, string, []byte) error { return nil }
+
+func row(name string, version uint64) store.Change {
+	return store.Change{Name: name, Version: version, Value: []byte(name)}
+}
+
+func refresh(t *testing.T, m *store.Mirror) []store.Change {
+	t.Helper()
+	changes, err := m.Refresh(context.Background(), 0)
+	require.NoError(t, err)
+	return changes
+}
+
+// Guards against rows that were removed while the history was lost and live on in the copy.
+func TestMirrorReadsTheTableAgainAfterLostHistory(t *testing.T) {
+	feed := &scriptedFeed{
+		snapshots: []scriptedAnswer{
+			{Changes: store.Changes{Rows: []store.Change{row("a", 1), row("b", 2)}, Version: 2}},
+			{Changes: store.Changes{Rows: []store.Change{row("b", 2), row("c", 8)}, Version: 9}},
+		},
+		changes: []scriptedAnswer{
+			{err: &store.HistoryError{After: 2}},
+			{Changes: store.Changes{Rows: []store.Change{{Name: "b", Version: 10, Deleted: true}}, Version: 10}},
+		},
+	}
+	m := store.NewMirror(feed, "table")
+	require.Len(t, refresh(t, m), 2)
+	require.ElementsMatch(t, []store.Change{row("c", 8), {Name: "a", Version: 9, Deleted: true}}, refresh(t, m))
+	require.Equal(t, []store.Change{{Name: "b", Version: 10, Deleted: true}}, refresh(t, m))
+	require.Equal(t, map[string]store.Change{"c": row("c", 8)}, m.Rows())
+}
+
+// Guards against a stale answer that reverts what is known already.
+func TestMirrorRefusesAStaleSnapshot(t *testing.T) {
+	feed := &scriptedFeed{
+		snapshots: []scriptedAnswer{
+			{Changes: store.Changes{Rows: []store.Change{row("a", 5)}, Version: 5}},
+			{Changes: store.Changes{Rows: []store.Change{row("a", 3)}, Version: 4}},
+		},
+		changes: []scriptedAnswer{{err: &store.HistoryError{After: 5}}},
+	}
+	m := store.NewMirror(feed, "table")
+	refresh(t, m)
+	_, err := m.Refresh(context.Background(), 0)
+	require.ErrorAs(t, err, new(*store.StaleError))
+	require.Equal(t, uint64(5), m.Rows()["a"].Version)
+}
+
+// Guards against a repeated change that is taken for news.
+func TestMirrorIgnoresRepeatedChanges(t *testing.T) {
+	feed := &scriptedFeed{
+		snapshots: []scriptedAnswer{{Changes: store.Changes{Rows: []store.Change{row("a", 5)}, Version: 5}}},
+		changes:   []scriptedAnswer{{Changes: store.Changes{Rows: []store.Change{row("a", 5), row("a", 4)}, Version: 6}}},
+	}
+	m := store.NewMirror(feed, "table")
+	refresh(t, m)
+	require.Empty(t, refresh(t, m))
+}
