Test the entry reducer and the forwarding; count silence only between reads

Cause: the first read of the heartbeats after an outage of the store counted the whole outage as silence of the other instances, so look-ups named only the instance itself for a second and a half. The test failed with the former code. A read now counts two seconds at most, and only while the instance's own heartbeat is accepted.

--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,223 @@
+package entry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhold/id"
+	"bluebellhold/internal/entry"
+)
+
+// Guards against an instance that answers 401 or 404 before it knows what is allowed.
+func TestAnInstanceWithoutConfigurationPromisesNotRun(t *testing.T) {
+	s := entry.New(entry.Config{Instance: "a", Bounds: bounds()})
+	require.False(t, s.IsReady())
+	r := refusal(t, s.Reduce(start, entry.RequestArrived{Request: 1, Host: "example", Path: "/look/1"}))
+	require.Equal(t, entry.CodeStarting, r.Code)
+	require.False(t, r.Ran)
+}
+
+func TestTheLongestPrefixDecides(t *testing.T) {
+	w := newWorld(t)
+	require.Equal(t, id.Service("pregled"), w.dispatched("/look/1").Service)
+	require.Equal(t, id.Service("darila"), w.dispatched("/look/deep/1").Service)
+	_, effects := w.arrive("/none/1")
+	require.Equal(t, entry.CodeRoute, refusal(t, effects).Code)
+}
+
+// Guards against a request that runs without the key of an organisation, or for another one.
+func TestKeysDecideTheOrganisation(t *testing.T) {
+	w := newWorld(t)
+	require.Equal(t, id.Organisation("school"), w.dispatched("/look/1").Organisation)
+	wrong := entry.RequestArrived{Request: 100, Host: "example", Path: "/look/1", HasSecret: true, Secret: id.DigestOf([]byte("x"))}
+	require.Equal(t, entry.CodeKey, refusal(t, w.reduce(wrong)).Code)
+	wrong.Path = "/open/1"
+	require.IsType(t, entry.Dispatch{}, w.reduce(wrong)[0])
+}
+
+// Guards against a withdrawn key or route that still works, and against a document that reverts to an older one.
+func TestOnlyNewerDocumentsTakeEffect(t *testing.T) {
+	w := newWorld(t)
+	newer := configuration()
+	newer.Version = 3
+	newer.Keys = map[id.Digest]id.Organisation{}
+	w.reduce(entry.Configured{Configuration: newer})
+	_, effects := w.arrive("/look/1")
+	require.Equal(t, entry.CodeKey, refusal(t, effects).Code)
+	older := configuration()
+	older.Version = 2
+	w.reduce(entry.Configured{Configuration: older})
+	_, effects = w.arrive("/look/1")
+	require.Equal(t, entry.CodeKey, refusal(t, effects).Code)
+}
+
+// Guards against a second run of a request that must not be repeated.
+func TestNonIdempotentRequestsAreSentAgainOnlyIfTheyDidNotRun(t *testing.T) {
+	for _, ending := range []entry.Ending{entry.Rejected{}, entry.Misdirected{}, entry.Unsent{}} {
+		w := newWorld(t)
+		first := w.dispatched("/draw/1")
+		effects := w.end(first, ending)
+		require.Len(t, effects, 1)
+		require.IsType(t, entry.Dispatch{}, effects[0], "%T", ending)
+		require.NotEqual(t, first.Upstream, effects[0].(entry.Dispatch).Upstream)
+	}
+	for _, ending := range []entry.Ending{entry.Broken{}, entry.TimedOut{}, entry.Cancelled{}} {
+		w := newWorld(t)
+		r := refusal(t, w.end(w.dispatched("/draw/1"), ending))
+		require.True(t, r.Ran, "%T", ending)
+	}
+}
+
+// Guards against a promise of "not run" after one of several attempts may have run.
+func TestARefusalAfterAPossibleRunPromisesNothing(t *testing.T) {
+	w := newWorld(t)
+	effects := w.end(w.dispatched("/look/1"), entry.Broken{})
+	second := effects[0].(entry.Dispatch)
+	w.now = w.now.Add(1990 * time.Millisecond)
+	r := refusal(t, w.end(second, entry.Rejected{}))
+	require.True(t, r.Ran)
+}
+
+// Guards against more runs than the route's attempts.
+func TestIdempotentRequestsRunAtMostAsOftenAsTheRouteAllows(t *testing.T) {
+	w := newWorld(t)
+	effects := w.end(w.dispatched("/look/1"), entry.Broken{})
+	r := refusal(t, w.end(effects[0].(entry.Dispatch), entry.Broken{}))
+	require.Equal(t, entry.CodeBroken, r.Code)
+}
+
+// Guards against retries that multiply the load when every upstream rejects: at most a fifth of the requests and this
+// instance's part of the extra ones are sent again within the window.
+func TestSecondSendsStayWithinTheBudget(t *testing.T) {
+	w := newWorld(t)
+	const requests = 400
+	sends := 0
+	for i := range requests {
+		w.now = w.now.Add(10 * time.Millisecond)
+		_, effects := w.arrive(fmt.Sprintf("/look/%d", i))
+		for len(effects) == 1 {
+			d, ok := effects[0].(entry.Dispatch)
+			if !ok {
+				break
+			}
+			sends++
+			effects = w.end(d, entry.Rejected{})
+		}
+	}
+	require.LessOrEqual(t, float64(sends-requests), 0.2*requests+56)
+}
+
+func TestDrainingAndEvacuatedUpstreamsGetNothing(t *testing.T) {
+	w := newWorld(t)
+	list := upstreams()
+	for i := range list {
+		list[i].Draining = list[i].Region == "koper"
+	}
+	w.reduce(entry.UpstreamsListed{Upstreams: list})
+	w.reduce(entry.EvacuationsListed{DataCentres: []id.DataCentre{"osrednja-1"}})
+	for range 10 {
+		d := w.dispatched("/look/1")
+		require.Equal(t, id.Upstream("pregled-osrednja-2"), d.Upstream)
+		w.answer(d)
+	}
+}
+
+func TestRoutesStayInTheirRegions(t *testing.T) {
+	w := newWorld(t)
+	require.Contains(t, w.dispatched("/home/1").Upstream, "koper")
+}
+
+// Guards against shares of a split that drift from the weights.
+func TestSplitsKeepTheirWeights(t *testing.T) {
+	w := newWorld(t)
+	counts := make(map[id.Service]int)
+	for range 200 {
+		d := w.dispatched("/split/1")
+		counts[d.Service]++
+		w.answer(d)
+	}
+	require.Equal(t, map[id.Service]int{"pregled": 180, "darila": 20}, counts)
+}
+
+// Guards against an organisation that gets more than its rate and burst, from this instance alone or after a restart.
+func TestARateIsSharedAmongTheInstances(t *testing.T) {
+	w := newWorld(t)
+	c := configuration()
+	c.Version = 2
+	c.Organisations["school"] = entry.Organisation{Rate: 10, Burst: 10}
+	w.reduce(entry.Configured{Configuration: c})
+	members := []entry.Member{
+		{Instance: "osrednja-1", Version: 1, Started: 1, Demand: map[id.Organisation]float64{"school": 5}},
+		{Instance: "osrednja-2", Version: 2, Started: 9, Demand: map[id.Organisation]float64{"school": 5}},
+	}
+	w.reduce(entry.MembersListed{Members: members})
+	admitted := 0
+	for range 200 {
+		_, effects := w.arrive("/look/1")
+		if d, ok := effects[0].(entry.Dispatch); ok {
+			admitted++
+			w.answer(d)
+			continue
+		}
+		require.Equal(t, entry.CodeRate, refusal(t, effects).Code)
+	}
+	require.LessOrEqual(t, float64(admitted), (10*5+10)*1.1/2+20)
+	require.GreaterOrEqual(t, admitted, 30)
+}
+
+// Guards against an outage of the store that makes instances drop each other from look-ups.
+func TestAnOutageOfTheStoreMakesNobodySilent(t *testing.T) {
+	w := newWorld(t)
+	member := func(name id.Instance, version uint64) entry.Member {
+		return entry.Member{Instance: name, Region: "osrednja", Address: string(name), Version: version, Started: 1}
+	}
+	w.reduce(entry.MembersListed{Members: []entry.Member{member("osrednja-1", 1), member("osrednja-2", 2)}})
+	w.now = w.now.Add(30 * time.Second)
+	w.reduce(entry.MembersListed{Members: []entry.Member{member("osrednja-1", 1), member("osrednja-2", 2)}})
+	require.Contains(t, w.state.Lookup("osrednja", ""), "osrednja-2")
+	for i := range 4 {
+		w.now = w.now.Add(1500 * time.Millisecond)
+		w.reduce(entry.MembersListed{Members: []entry.Member{member("osrednja-1", uint64(10+i)), member("osrednja-2", 2)}})
+	}
+	require.NotContains(t, w.state.Lookup("osrednja", ""), "osrednja-2", "it is silent while others are heard")
+}
+
+// Guards against work that goes on for a caller that has left, and against breaking off work that must not be lost.
+func TestACallerThatLeavesStopsOnlyIdempotentWork(t *testing.T) {
+	w := newWorld(t)
+	look := w.dispatched("/look/1")
+	require.Equal(t, []entry.Effect{entry.Cancel{Request: look.Request}}, w.reduce(entry.CallerGone{Request: look.Request}))
+	draw := w.dispatched("/draw/1")
+	require.Empty(t, w.reduce(entry.CallerGone{Request: draw.Request}))
+}
+
+// Guards against requests that wait although no upstream can serve them, and against waiting beyond the deadline.
+func TestOverloadIsRejectedEarlyWithATimeToComeBack(t *testing.T) {
+	w := newWorld(t)
+	rejected := 0
+	for i := range 400 {
+		w.next++
+		effects := w.reduce(entry.RequestArrived{
+			Request: w.next, Host: "example", Path: "/look/1", Object: fmt.Sprint(i), Secret: key, HasSecret: true,
+			Patience: 2500 * time.Millisecond,
+		})
+		for _, e := range effects {
+			if r, ok := e.(entry.Refuse); ok {
+				rejected++
+				require.Equal(t, entry.CodeBusy, r.Refusal.Code)
+				require.True(t, r.Refusal.After.After(w.now))
+			}
+		}
+	}
+	require.Greater(t, rejected, 300)
+	w.now = w.now.Add(3 * time.Second)
+	for _, e := range w.reduce(entry.Tick{}) {
+		if r, ok := e.(entry.Refuse); ok {
+			require.False(t, r.Refusal.Ran)
+		}
+	}
+	require.Zero(t, w.state.Wake(w.now))
+}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -38,42 +38,35 @@
 	return members{self: self, started: started, all: make(map[id.Instance]*member)}
 }
 
-// update takes a read of the heartbeats.
+// longestGap bounds the silence that one read can find. After a longer time without a read the store was away or this
+// instance was cut off, which says nothing about the others.
+const longestGap = 2 * time.Second
+
+// update takes a read of the heartbeats. Silence counts only while this instance's own heartbeats are accepted.
 func (m *members) update(now time.Time, list []Member) {
-	passed := now.Sub(m.readAt)
+	passed := min(now.Sub(m.readAt), longestGap)
 	if m.readAt.IsZero() {
 		passed = 0
 	}
 	m.readAt = now
-	isRenewed := false
+	isRenewed := slices.ContainsFunc(list, func(e Member) bool {
+		return e.Instance == m.self && (m.all[m.self] == nil || m.all[m.self].Version != e.Version)
+	})
 	for _, e := range list {
 		if e.Instance == m.self && e.Started != m.started && m.predecessor == nil {
 			m.predecessor = &e
 		}
-		if known := m.all[e.Instance]; known == nil || known.Version != e.Version {
-			isRenewed = isRenewed || e.Instance == m.self
+		known := m.all[e.Instance]
+		switch {
+		case known == nil || known.Version != e.Version:
 			m.all[e.Instance] = &member{Member: e}
-		} else {
+		case isRenewed:
 			known.silentFor += passed
 		}
 	}
-	if !isRenewed {
-		m.forgive(passed)
-	}
 	m.forget(list)
 }
 
-// forgive takes back the silence of a span in which the store may not have taken heartbeats.
-func (m *members) forgive(span time.Duration) {
-	own := m.all[m.self]
-	if own != nil && own.silentFor <= 2*span {
-		return
-	}
-	for _, e := range m.all {
-		e.silentFor = max(e.silentFor-span, 0)
-	}
-}
-
 func (m *members) forget(list []Member) {
 	for name, e := range m.all {
 		isListed := slices.ContainsFunc(list, func(l Member) bool { return l.Instance == name })
--- /dev/null
+++ b/internal/entry/world_test.go
@@ -0,0 +1,120 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhold/id"
+	"bluebellhold/internal/entry"
+)
+
+var start = time.Unix(1000, 0)
+
+var key = id.DigestOf([]byte("key"))
+
+func bounds() entry.Bounds {
+	return entry.Bounds{
+		RetryRatio: 0.2, RetryExtra: 56, RetryWindow: 10 * time.Second,
+		RateWindow: 5 * time.Second, RateExcess: 0.1, RateSlack: 20,
+		ColdExcess: 1.5, ColdSlack: 5, Shift: 0.15, Grace: 6 * time.Second, LookupTTL: 5 * time.Second,
+	}
+}
+
+func route(name id.Route, prefix string, idempotent bool, targets ...entry.Target) entry.Route {
+	return entry.Route{
+		ID: name, Host: "example", Prefix: prefix, Idempotent: idempotent, Targets: targets, Timeout: 2 * time.Second,
+		Objective: 400 * time.Millisecond, Attempts: 2, Sticky: true,
+	}
+}
+
+func configuration() entry.Configuration {
+	one := entry.Target{Service: "pregled", Weight: 1}
+	open := route("open", "/open/", true, one)
+	open.Open = true
+	home := route("home", "/home/", true, one)
+	home.Regions = []id.Region{"koper"}
+	return entry.Configuration{
+		Version: 1,
+		Routes: []entry.Route{
+			route("look", "/look/", true, one), route("draw", "/draw/", false, one), open, home,
+			route("deep", "/look/deep/", true, entry.Target{Service: "darila", Weight: 1}),
+			route("split", "/split/", true, entry.Target{Service: "pregled", Weight: 90}, entry.Target{Service: "darila", Weight: 10}),
+		},
+		Services:      map[id.Service]entry.Service{"pregled": {ColdRate: 9.6}, "darila": {ColdRate: 9.6}},
+		Organisations: map[id.Organisation]entry.Organisation{"school": {}},
+		Keys:          map[id.Digest]id.Organisation{key: "school"},
+	}
+}
+
+func upstreams() []entry.Upstream {
+	var list []entry.Upstream
+	for _, service := range []id.Service{"pregled", "darila"} {
+		for _, region := range []id.Region{"osrednja", "koper"} {
+			for _, n := range []string{"1", "2"} {
+				list = append(list, entry.Upstream{
+					ID: id.Upstream(string(service) + "-" + string(region) + "-" + n), Service: service,
+					Address: "10.0.0.1:80", Region: region, DataCentre: id.DataCentre(string(region) + "-" + n), Slots: 4,
+				})
+			}
+		}
+	}
+	return list
+}
+
+// world is a State with a clock.
+type world struct {
+	*testing.T
+	state *entry.State
+	now   time.Time
+	next  id.Request
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{T: t, now: start, state: entry.New(entry.Config{
+		Instance: "osrednja-1", Region: "osrednja", DataCentre: "osrednja-1", Address: "10.0.0.9:80", Bounds: bounds(),
+		Started: 1,
+	})}
+	w.reduce(entry.Configured{Configuration: configuration()})
+	w.reduce(entry.UpstreamsListed{Upstreams: upstreams()})
+	return w
+}
+
+func (w *world) reduce(e entry.Event) []entry.Effect {
+	return append([]entry.Effect(nil), w.state.Reduce(w.now, e)...)
+}
+
+// arrive sends a request with the key and returns its effects.
+func (w *world) arrive(path string) (id.Request, []entry.Effect) {
+	w.next++
+	return w.next, w.reduce(entry.RequestArrived{
+		Request: w.next, Host: "example", Path: path, Object: "7", Secret: key, HasSecret: true, Patience: 2500 * time.Millisecond,
+	})
+}
+
+// dispatched sends a request and returns the dispatch that it leads to.
+func (w *world) dispatched(path string) entry.Dispatch {
+	w.Helper()
+	_, effects := w.arrive(path)
+	require.Len(w, effects, 1)
+	require.IsType(w, entry.Dispatch{}, effects[0])
+	return effects[0].(entry.Dispatch)
+}
+
+func (w *world) end(d entry.Dispatch, e entry.Ending) []entry.Effect {
+	return w.reduce(entry.AttemptEnded{Request: d.Request, Ending: e})
+}
+
+func (w *world) answer(d entry.Dispatch) {
+	w.Helper()
+	effects := w.end(d, entry.Answered{Status: 200, Elapsed: 100 * time.Millisecond})
+	require.Contains(w, effects, entry.Deliver{Request: d.Request})
+}
+
+func refusal(t *testing.T, effects []entry.Effect) entry.Refusal {
+	t.Helper()
+	require.Len(t, effects, 1)
+	require.IsType(t, entry.Refuse{}, effects[0])
+	return effects[0].(entry.Refuse).Refusal
+}
--- a/internal/ingress/follow.go
+++ b/internal/ingress/follow.go
@@ -228,10 +228,11 @@
 		}
 		f.hasRead = true
 	}
-	if err := f.writeMember(ctx, f.isStopping.Load()); err != nil {
-		return err
+	err := f.writeMember(ctx, f.isStopping.Load())
+	if failed := f.readMembers(ctx); failed != nil {
+		return failed
 	}
-	return f.readMembers(ctx)
+	return err
 }
 
 // readMembers takes in the heartbeats of all instances.
