Settle each object on one home in every region

An upstream that forgets an object shows it by its time, and the next request for it goes to another home, so no count is needed. Large answers also have a home in the caller's data centre.

--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -29,6 +29,8 @@
 	Targets []Target
 	// Idempotent is set if a request may run more than once.
 	Idempotent bool
+	// IsBulk is set if answers are large.
+	IsBulk bool
 	// Timeout is the longest time that a request is kept waiting for its answer.
 	Timeout time.Duration
 	// Objective is the time within which an answer is fully useful.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -65,7 +65,7 @@
 	s.setDeadlines(r, e.Patience)
 	organisation := s.current.Organisations[r.organisation]
 	r.rank = rankOf(organisation, r.route)
-	r.want = placement.Want{Class: r.route.ID, Expected: expectedWork(r.route), Regions: r.route.Regions}
+	r.want = placement.Want{Class: r.route.ID, Expected: expectedWork(r.route), Regions: r.route.Regions, IsBulk: r.route.IsBulk}
 	if r.route.Sticky {
 		r.want.Object = e.Object
 	}
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -44,8 +44,9 @@
 	cold    id.Tokens
 	members []id.Instance
 	self    id.Instance
-	objects objects
+	// regions are the open upstreams by region, near those of the own data centre.
 	regions []site
+	near    site
 }
 
 // New returns a Chooser without upstreams.
@@ -86,14 +87,14 @@
 		}
 		return 1
 	})
-	c.regions = c.sites()
+	c.setSites()
 	c.shareCold(now)
 }
 
 // Close stops all new work for the upstreams of the data centres and reopens the others.
 func (c *Chooser) Close(dataCentres map[id.DataCentre]bool) {
 	c.closed = dataCentres
-	c.regions = c.sites()
+	c.setSites()
 }
 
 // Share tells the instances that place requests of the service and how many requests per second all of them together
@@ -135,6 +136,8 @@
 type Want struct {
 	Object string
 	Class  id.Route
+	// IsBulk is set if answers are expected to be large.
+	IsBulk bool
 	// Expected is the work assumed for the class before any sample.
 	Expected time.Duration
 	// Regions are those allowed; empty means all.
@@ -170,8 +173,7 @@
 	cl := c.class(w)
 	weight := workWeightAt(c.utilisation(now))
 	if w.Object != "" {
-		c.objects.see(now, objectKey{w.Class, w.Object})
-		if choice, ok := c.best(now, w, cl, weight, c.homes(now, w), true); ok {
+		if choice, ok := c.best(now, w, cl, weight, c.homes(now, w, cl), true); ok {
 			return choice, true
 		}
 	}
