Wait for the home that is quickest, also while it gets warm

Cause: while the first request for an object warmed its home, the next ones took any home with room in another region and ran cold there as well, so that the first seconds at high load ran each object cold in all regions. A request now waits if its home, counting the others that wait for it, is expected to be quicker than a free one. Rankings of upstreams are kept per object.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bluebellhold/id"
 	"bluebellhold/placement"
 )
 
@@ -14,9 +15,9 @@
 }
 
 // pumpLimit bounds the waiting requests that are tried in one go; later ones find no room either when so many did not.
-const pumpLimit = 32
+const pumpLimit = 64
 
-// pump starts waiting requests, the most urgent first, until none finds room.
+// pump starts waiting requests, the most urgent first, as far as there is room where they are settled.
 func (s *State) pump(svc *service) {
 	if svc.line.Len() == 0 {
 		return
@@ -30,10 +31,14 @@
 		if r == nil {
 			continue
 		}
+		r.waitAt("")
 		choice, ok := svc.chooser.Choose(s.now, r.want)
-		if ok && choice.HasRoom {
+		switch {
+		case ok && choice.HasRoom:
 			s.start(r, choice)
 			started = append(started, r)
+		case ok:
+			r.waitAt(choice.Upstream)
 		}
 	}
 	for _, r := range started {
@@ -41,6 +46,17 @@
 	}
 }
 
+// waitAt records the upstream that a request waits for, or that it waits no longer.
+func (r *request) waitAt(upstream id.Upstream) {
+	if r.waitsFor != "" {
+		r.service.chooser.Leave(r.waitsFor)
+	}
+	r.waitsFor = upstream
+	if upstream != "" {
+		r.service.chooser.Wait(upstream)
+	}
+}
+
 // start dispatches a request to the chosen upstream.
 func (s *State) start(r *request, choice placement.Choice) {
 	u := s.upstreams[choice.Upstream]
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -22,6 +22,8 @@
 	deadline    time.Time
 	stage       stage
 	choice      placement.Choice
+	// waitsFor is the upstream that a waiting request was last expected to run on.
+	waitsFor id.Upstream
 	// sends counts dispatches; mayHaveRun counts those after which the upstream may have run the request.
 	sends      int
 	mayHaveRun int
@@ -160,6 +162,7 @@
 		return
 	}
 	svc.line.Add(w)
+	r.waitAt(choice.Upstream)
 	s.pump(svc)
 }
 
@@ -194,6 +197,7 @@
 	if r.mayHaveRun > 0 {
 		refusal.Ran = true
 	}
+	r.waitAt("")
 	delete(s.requests, r.id)
 	s.counts.Refused++
 	s.emit(Refuse{Request: r.id, Refusal: refusal})
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -47,6 +47,7 @@
 	// regions are the open upstreams by region, near those of the own data centre.
 	regions []site
 	near    site
+	settled map[string]*settled
 }
 
 // New returns a Chooser without upstreams.
@@ -70,7 +71,7 @@
 	for _, u := range list {
 		known := c.upstreams[u.ID]
 		if known == nil || known.Incarnation != u.Incarnation {
-			known = &upstream{hash: hashText(string(u.ID)), slowness: 1, works: make(map[string]sample), running: make(map[string]int)}
+			known = &upstream{hash: hashText(string(u.ID)), slowness: 1, works: make(map[string]sample), warming: make(map[string]time.Time)}
 		}
 		if now.Before(u.ColdUntil) && !now.Before(known.ColdUntil) {
 			// A cold upstream has lost what it remembered.
@@ -165,7 +166,8 @@
 	isClean bool
 }
 
-// Choose returns the upstream that is expected to finish the request first, among those with room if there are any.
+// Choose returns the upstream that is expected to finish the request first. If that one has no room, waiting for it is
+// expected to be quicker than any other that has.
 //
 // A request with an object considers only the object's homes, unless none of them can be used: a cold run elsewhere
 // would take the room of several warm ones.
@@ -184,24 +186,18 @@
 func (c *Chooser) best(
 	now time.Time, w Want, cl *class, weight float64, candidates []*upstream, isHome bool,
 ) (Choice, bool) {
-	var best, full Choice
-	var bestCost, fullCost time.Duration
+	var best Choice
+	var least time.Duration
 	for _, u := range candidates {
 		if !c.isUsable(now, u, w) {
 			continue
 		}
 		choice, cost := c.estimate(now, u, w, cl, isHome, weight)
-		switch {
-		case choice.HasRoom && (best.Upstream == "" || cost < bestCost):
-			best, bestCost = choice, cost
-		case !choice.HasRoom && (full.Upstream == "" || cost < fullCost):
-			full, fullCost = choice, cost
+		if best.Upstream == "" || cost < least {
+			best, least = choice, cost
 		}
 	}
-	if best.Upstream == "" {
-		return full, full.Upstream != ""
-	}
-	return best, true
+	return best, best.Upstream != ""
 }
 
 const (
@@ -258,25 +254,25 @@
 const coldFactor = 2
 
 // estimate predicts the time to finish at one upstream, and the cost that includes the price of the transfer.
-func (c *Chooser) estimate(now time.Time, u *upstream, w Want, cl *class, isHome bool, weight float64) (Choice, time.Duration) {
-	work, f := u.expect(now, w, cl, isHome)
-	expected := work
-	work = time.Duration(float64(work) * u.slowFactor(now))
-	if u.isCold(now) {
-		work *= coldFactor
-	}
+func (c *Chooser) estimate(
+	now time.Time, u *upstream, w Want, cl *class, isHome bool, weight float64,
+) (Choice, time.Duration) {
+	expected, f := u.expect(now, w, cl, isHome)
 	slots := max(float64(u.Slots), 1)
 	busy := float64(u.inFlight) + u.othersNow(now)
-	var wait time.Duration
-	if busy >= slots {
-		wait = time.Duration((busy - slots + 1) / slots * float64(cl.home))
-	}
-	path := c.path(u)
 	hasRoom := busy < slots || u.mayProbe(now)
-	if f != repeated && w.Object != "" && u.running[w.Object] > 0 {
+	wait := time.Duration(max(busy+float64(u.waiting)-slots+1, 0) / slots * float64(cl.home))
+	if begun, ok := u.warming[w.Object]; ok && f != repeated {
 		// The first request for the object makes it warm; one that waits for that needs a fraction of the work.
 		hasRoom = false
+		expected = cl.repeat
+		wait = max(wait, cl.cold-now.Sub(begun), 0)
 	}
+	work := time.Duration(float64(expected) * u.slowFactor(now))
+	if u.isCold(now) {
+		work *= coldFactor
+	}
+	path := c.path(u)
 	choice := Choice{
 		Upstream: u.ID, Finish: path + wait + work, HasRoom: hasRoom,
 		familiarity: f, expected: expected, path: path, isClean: busy < slots,
--- a/placement/home.go
+++ b/placement/home.go
@@ -38,7 +38,7 @@
 // setSites groups the upstreams whose data centres are open by region, and those of the own data centre.
 func (c *Chooser) setSites() {
 	byRegion := make(map[id.Region]int)
-	c.regions, c.near = nil, site{}
+	c.regions, c.near, c.settled = nil, site{}, make(map[string]*settled)
 	for _, u := range c.ordered {
 		if c.closed[u.DataCentre] {
 			continue
@@ -56,19 +56,48 @@
 	}
 }
 
+// ranking holds the upstreams of a site that rank first for an object.
+type ranking [2]*upstream
+
+// settled holds where an object belongs: the ranking of each region, and that of the own data centre.
+type settled struct {
+	regions []ranking
+	near    ranking
+}
+
+// settle ranks the upstreams for an object once; the ranking holds until the list of upstreams changes.
+func (c *Chooser) settle(name string) *settled {
+	if known := c.settled[name]; known != nil {
+		return known
+	}
+	if len(c.settled) >= settledKept {
+		clear(c.settled)
+	}
+	object := hashText(name)
+	s := &settled{regions: make([]ranking, len(c.regions)), near: c.near.rank(object)}
+	for i := range c.regions {
+		s.regions[i] = c.regions[i].rank(object)
+	}
+	c.settled[name] = s
+	return s
+}
+
+// settledKept bounds the objects whose rankings are kept.
+const settledKept = 4096
+
 // homes returns the upstreams that an object is settled on: one in each region, so that a request that finds no room at
 // the near one finds a warm one farther away. Large answers also have a home in the own data centre, since their
 // transfer counts for more than the memory that it takes.
 func (c *Chooser) homes(now time.Time, w Want, cl *class) []*upstream {
-	object := hashText(w.Object)
-	homes := make([]*upstream, 0, len(c.regions)+1)
-	for _, s := range c.regions {
-		if u := s.first(now, object); u != nil {
+	s := c.settle(w.Object)
+	homes := make([]*upstream, 0, len(s.regions)+1)
+	for _, r := range s.regions {
+		if u := r.first(now); u != nil {
 			homes = append(homes, u)
 		}
 	}
 	if w.IsBulk || cl.size > bulkSize {
-		if u := c.near.first(now, object); u != nil {
+		if u := s.near.first(now); u != nil {
 			homes = append(homes, u)
 		}
 	}
@@ -78,17 +107,28 @@
 // bulkSize is the average size of an answer above which it counts as large.
 const bulkSize = 32_000
 
-// first returns the upstream of the site that ranks first for an object, without those that are known to fail.
-func (s *site) first(now time.Time, object uint64) *upstream {
-	var best *upstream
-	var most float64
+// rank returns the upstreams of the site with the highest scores for an object.
+func (s *site) rank(object uint64) ranking {
+	var best ranking
+	var points [2]float64
 	for _, u := range s.upstreams {
-		if u.failures > 0 && now.Before(u.retryAt) {
-			continue
-		}
-		if points := score(object, u); best == nil || points > most {
-			best, most = u, points
+		switch p := score(object, u); {
+		case best[0] == nil || p > points[0]:
+			best[1], points[1] = best[0], points[0]
+			best[0], points[0] = u, p
+		case best[1] == nil || p > points[1]:
+			best[1], points[1] = u, p
 		}
 	}
 	return best
 }
+
+// first returns the first upstream of the ranking that is not known to fail.
+func (r *ranking) first(now time.Time) *upstream {
+	for _, u := range r {
+		if u != nil && (u.failures == 0 || !now.Before(u.retryAt)) {
+			return u
+		}
+	}
+	return nil
+}
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -54,14 +54,30 @@
 		return
 	}
 	u.inFlight++
-	if w.Object != "" {
-		u.running[w.Object]++
+	if w.Object != "" && choice.familiarity != repeated {
+		if _, ok := u.warming[w.Object]; !ok {
+			u.warming[w.Object] = now
+		}
 	}
 	if u.isCold(now) {
 		u.cold.Take(now)
 	}
 }
 
+// Wait records that a request waits for the chosen upstream, until Leave.
+func (c *Chooser) Wait(upstream id.Upstream) {
+	if u := c.upstreams[upstream]; u != nil {
+		u.waiting++
+	}
+}
+
+// Leave records that a request no longer waits for an upstream.
+func (c *Chooser) Leave(upstream id.Upstream) {
+	if u := c.upstreams[upstream]; u != nil {
+		u.waiting = max(u.waiting-1, 0)
+	}
+}
+
 // End records how a send that Start recorded ended.
 func (c *Chooser) End(now time.Time, choice Choice, w Want, o Outcome) {
 	u := c.upstreams[choice.Upstream]
@@ -69,9 +85,7 @@
 		return
 	}
 	u.inFlight = max(u.inFlight-1, 0)
-	if u.running[w.Object]--; u.running[w.Object] <= 0 {
-		delete(u.running, w.Object)
-	}
+	delete(u.warming, w.Object)
 	switch o := o.(type) {
 	case Served:
 		u.failures = 0
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -50,8 +50,10 @@
 	suspects time.Time
 	// works holds the last measured work per object.
 	works map[string]sample
-	// running counts this instance's requests in flight per object.
-	running map[string]int
+	// warming holds when this instance sent the first request for an object that the upstream was not known to remember.
+	warming map[string]time.Time
+	// waiting counts this instance's requests that wait for the upstream.
+	waiting int
 }
 
 type sample struct {
