--- a/placement/home.go
+++ b/placement/home.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"bluebellhold/id"
 )
 
 // hashText hashes a name once, so that scoring a pair costs a few instructions.
@@ -30,105 +28,109 @@
 	return -max(float64(u.Slots), 1) / math.Log(unit)
 }
 
-// site is the upstreams of one region, or of one data centre, that may get work.
-type site struct {
-	upstreams []*upstream
+// ranking holds the upstreams that rank first for an object, the best one first.
+type ranking struct {
+	upstreams [2]*upstream
+	scores    [2]float64
 }
 
-// setSites groups the upstreams whose data centres are open by region, and those of the own data centre.
-func (c *Chooser) setSites() {
-	byRegion := make(map[id.Region]int)
-	c.regions, c.near, c.settled = nil, site{}, make(map[string]*settled)
-	for _, u := range c.ordered {
-		if c.closed[u.DataCentre] {
-			continue
-		}
-		i, ok := byRegion[u.Region]
-		if !ok {
-			i = len(c.regions)
-			byRegion[u.Region] = i
-			c.regions = append(c.regions, site{})
-		}
-		c.regions[i].upstreams = append(c.regions[i].upstreams, u)
-		if u.DataCentre == c.config.DataCentre {
-			c.near.upstreams = append(c.near.upstreams, u)
-		}
+func (r *ranking) add(object uint64, u *upstream) {
+	switch s := score(object, u); {
+	case r.upstreams[0] == nil || s > r.scores[0]:
+		r.upstreams[1], r.scores[1] = r.upstreams[0], r.scores[0]
+		r.upstreams[0], r.scores[0] = u, s
+	case r.upstreams[1] == nil || s > r.scores[1]:
+		r.upstreams[1], r.scores[1] = u, s
 	}
 }
 
-// ranking holds the upstreams of a site that rank first for an object.
-type ranking [2]*upstream
-
-// settled holds where an object belongs: the ranking of each region, and that of the own data centre.
-type settled struct {
-	regions []ranking
-	near    ranking
+// place is where an object is settled, as seen from one region.
+type place struct {
+	// regional ranks the upstreams of the own region, remote those of the others.
+	regional, remote ranking
+	// near ranks the upstreams of the own data centre.
+	near ranking
 }
 
-// settle ranks the upstreams for an object once; the ranking holds until the list of upstreams changes.
-func (c *Chooser) settle(name string) *settled {
-	if known := c.settled[name]; known != nil {
-		return known
+// placesKept bounds the objects whose places are kept.
+const placesKept = 4096
+
+// place ranks the upstreams for an object once; the ranking holds until the list of upstreams changes.
+func (c *Chooser) place(w Want) *place {
+	key := w.Object
+	for _, region := range w.Regions {
+		key += "/" + string(region)
 	}
-	if len(c.settled) >= settledKept {
-		clear(c.settled)
+	if known := c.places[key]; known != nil {
+		return known
 	}
-	object := hashText(name)
-	s := &settled{regions: make([]ranking, len(c.regions)), near: c.near.rank(object)}
-	for i := range c.regions {
-		s.regions[i] = c.regions[i].rank(object)
+	if len(c.places) >= placesKept {
+		clear(c.places)
 	}
-	c.settled[name] = s
-	return s
-}
-
-// settledKept bounds the objects whose rankings are kept.
-const settledKept = 4096
-
-// homes returns the upstreams that an object is settled on: one in each region, so that a request that finds no room at
-// the near one finds a warm one farther away. Large answers also have a home in the own data centre, since their
-// transfer counts for more than the memory that it takes.
-func (c *Chooser) homes(now time.Time, w Want, cl *class) []*upstream {
-	s := c.settle(w.Object)
-	homes := make([]*upstream, 0, len(s.regions)+1)
-	for _, r := range s.regions {
-		if u := r.first(now); u != nil {
-			homes = append(homes, u)
+	object := hashText(w.Object)
+	p := &place{}
+	for _, u := range c.ordered {
+		if c.closed[u.DataCentre] || !w.allows(u.Region) {
+			continue
 		}
-	}
-	if w.IsBulk || cl.size > bulkSize {
-		if u := s.near.first(now); u != nil {
-			homes = append(homes, u)
+		if u.Region != c.config.Region {
+			p.remote.add(object, u)
+			continue
+		}
+		p.regional.add(object, u)
+		if u.DataCentre == c.config.DataCentre {
+			p.near.add(object, u)
 		}
 	}
-	return homes
+	c.places[key] = p
+	return p
 }
 
-// bulkSize is the average size of an answer above which it counts as large.
-const bulkSize = 32_000
+// candidate is an upstream that an object may run on; at its home the object is expected to be known, since the other
+// instances of the region send its requests there as well.
+type candidate struct {
+	*upstream
+	isHome bool
+}
 
-// rank returns the upstreams of the site with the highest scores for an object.
-func (s *site) rank(object uint64) ranking {
-	var best ranking
-	var points [2]float64
-	for _, u := range s.upstreams {
-		switch p := score(object, u); {
-		case best[0] == nil || p > points[0]:
-			best[1], points[1] = best[0], points[0]
-			best[0], points[0] = u, p
-		case best[1] == nil || p > points[1]:
-			best[1], points[1] = u, p
+// candidates returns the upstreams for an object: its home in the own region, a second one there that takes what the
+// home has no room for, and one in another region in case the own one has too few slots. Large answers also have a home
+// in the own data centre, since their transfer counts for more than the memory that it takes.
+//
+// An object is asked for in one region mostly, so a place in another region is not expected to know it.
+func (c *Chooser) candidates(now time.Time, w Want, cl *class) []candidate {
+	p := c.place(w)
+	out := c.buffer[:0]
+	isHome := true
+	add := func(u *upstream) {
+		if u != nil && u.isReachable(now) {
+			out = append(out, candidate{u, isHome})
+			isHome = false
 		}
 	}
-	return best
+	add(p.regional.upstreams[0])
+	add(p.regional.upstreams[1])
+	add(p.remote.upstreams[0])
+	if len(out) < leastCandidates {
+		add(p.remote.upstreams[1])
+	}
+	if near := p.near.upstreams[0]; (w.IsBulk || cl.size > bulkSize) && near != nil && near.isReachable(now) {
+		out = append(out, candidate{near, true})
+	}
+	c.buffer = out
+	return out
 }
 
-// first returns the first upstream of the ranking that is not known to fail.
-func (r *ranking) first(now time.Time) *upstream {
-	for _, u := range r {
-		if u != nil && (u.failures == 0 || !now.Before(u.retryAt)) {
-			return u
-		}
-	}
-	return nil
+const (
+	// leastCandidates is the number of candidates below which a second one in another region is added.
+	leastCandidates = 2
+	// mostCandidates is the capacity for candidates.
+	mostCandidates = 5
+	// bulkSize is the average size of an answer in bytes above which it counts as large.
+	bulkSize = 32_000
+)
+
+// isReachable reports whether the upstream is not in the pause after a failure.
+func (u *upstream) isReachable(now time.Time) bool {
+	return u.failures == 0 || !now.Before(u.retryAt)
 }
