Take unanswered requests for a sign of slowness

Ruled out: lost connections (no unreached or broken attempts in the logs) and cold objects (the work was ten times that of warm objects, cold objects take three times).

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -61,11 +61,10 @@
 func (s *State) start(r *request, choice placement.Choice) {
 	u := s.upstreams[choice.Upstream]
 	r.stage = stageRunning
-	r.choice = choice
 	r.sends++
 	s.counts.Started++
 	r.service.line.Started(s.now)
-	r.service.chooser.Start(s.now, choice, r.want)
+	r.choice = r.service.chooser.Start(s.now, choice, r.want)
 	s.emit(Dispatch{
 		Request: r.id, Organisation: r.organisation, Service: r.service.id, Upstream: u.ID, Incarnation: u.Incarnation,
 		Address: u.Address, Deadline: r.deadline, Idempotent: r.route.Idempotent,
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -162,6 +162,7 @@
 	familiarity familiarity
 	expected    time.Duration
 	path        time.Duration
+	sentAt      time.Time
 	// isClean is set if the upstream was not expected to let the request wait, so that the time tells the work.
 	isClean bool
 }
@@ -226,7 +227,7 @@
 func (c *Chooser) utilisation(now time.Time) float64 {
 	var busy, slots float64
 	for _, u := range c.ordered {
-		busy += min(float64(u.inFlight)+u.othersNow(now), float64(u.Slots))
+		busy += min(float64(u.inFlight())+u.othersNow(now), float64(u.Slots))
 		slots += float64(u.Slots)
 	}
 	return busy / max(slots, 1)
@@ -236,7 +237,7 @@
 	switch {
 	case c.closed[u.DataCentre], !w.allows(u.Region), slices.Contains(w.Avoid, u.ID):
 		return false
-	case u.failures > 0 && (now.Before(u.retryAt) || u.inFlight > 0):
+	case u.failures > 0 && (now.Before(u.retryAt) || u.inFlight() > 0):
 		return false
 	case u.isCold(now) && (!u.mayCold || u.cold.NextAt(now).After(now)):
 		return false
@@ -269,7 +270,7 @@
 ) (Choice, time.Duration) {
 	expected, f := u.expect(now, w, cl)
 	slots := max(float64(u.Slots), 1)
-	busy := float64(u.inFlight) + u.othersNow(now)
+	busy := float64(u.inFlight()) + u.othersNow(now)
 	hasRoom := busy < slots || u.mayProbe(now)
 	wait := time.Duration(max(busy+float64(u.waiting)-slots+1, 0) / slots * float64(cl.home))
 	if begun, ok := u.warming[w.Object]; ok && f != repeated {
@@ -278,7 +279,7 @@
 		expected = cl.repeat
 		wait = max(wait, cl.cold-now.Sub(begun), 0)
 	}
-	work := time.Duration(float64(expected) * u.slowFactor(now))
+	work := time.Duration(float64(expected) * max(u.slowFactor(now), u.overdue(now)))
 	if u.isCold(now) {
 		work *= coldFactor
 	}
@@ -300,7 +301,7 @@
 
 // mayProbe reports whether one request should find out if the upstream is still full.
 func (u *upstream) mayProbe(now time.Time) bool {
-	return u.inFlight == 0 && now.Sub(u.othersAt) > probeAfter
+	return u.inFlight() == 0 && now.Sub(u.othersAt) > probeAfter
 }
 
 // transfer is the delay that stands for the price of moving an answer across a border.
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -47,13 +47,14 @@
 func (Overdue) isOutcome()     {}
 func (Abandoned) isOutcome()   {}
 
-// Start records that a request is sent as chosen.
-func (c *Chooser) Start(now time.Time, choice Choice, w Want) {
+// Start records that a request is sent as chosen, and returns the choice to give to End.
+func (c *Chooser) Start(now time.Time, choice Choice, w Want) Choice {
+	choice.sentAt = now
 	u := c.upstreams[choice.Upstream]
 	if u == nil {
-		return
+		return choice
 	}
-	u.inFlight++
+	u.sends = append(u.sends, send{at: now, expected: choice.Finish})
 	if w.Object != "" && choice.familiarity != repeated {
 		if _, ok := u.warming[w.Object]; !ok {
 			u.warming[w.Object] = now
@@ -62,6 +63,7 @@
 	if u.isCold(now) {
 		u.cold.Take(now)
 	}
+	return choice
 }
 
 // Wait records that a request waits for the chosen upstream, until Leave.
@@ -84,7 +86,7 @@
 	if u == nil {
 		return
 	}
-	u.inFlight = max(u.inFlight-1, 0)
+	u.ended(choice)
 	delete(u.warming, w.Object)
 	switch o := o.(type) {
 	case Served:
@@ -132,7 +134,7 @@
 	if l == nil {
 		return
 	}
-	u.others, u.othersAt = max(float64(l.Running+l.Waiting)-float64(u.inFlight), 0), now
+	u.others, u.othersAt = max(float64(l.Running+l.Waiting)-float64(u.inFlight()), 0), now
 }
 
 // learnWork takes the work out of the elapsed time and keeps it for the object and the class.
@@ -155,7 +157,8 @@
 	// What the upstream has just handled is warm now, whatever this request took.
 	next := cl.repeat
 	if choice.familiarity == repeated && isClean {
-		next = work
+		// More than the work of an unknown object tells of a slow upstream, not of the object.
+		next = min(work, cl.cold)
 	}
 	u.works[w.Object] = sample{work: next, at: now}
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -106,7 +106,7 @@
 			now := start.Add(time.Duration(i) * 9 * time.Millisecond)
 			w := want("")
 			if choice, ok := c.Choose(now, w); ok {
-				c.Start(now, choice, w)
+				choice = c.Start(now, choice, w)
 				c.End(now, choice, w, placement.Abandoned{})
 				sent++
 			}
@@ -121,7 +121,7 @@
 	c := newChooser("osrednja", fleet(2, "osrednja"))
 	w := want("7")
 	home, _ := c.Choose(start, w)
-	c.Start(start, home, w)
+	home = c.Start(start, home, w)
 	c.End(start, home, w, placement.Unreached{})
 	other, _ := c.Choose(start, w)
 	require.NotEqual(t, home.Upstream, other.Upstream)
@@ -129,7 +129,7 @@
 	later := start.Add(3300 * time.Millisecond)
 	again, _ := c.Choose(later, w)
 	require.Equal(t, home.Upstream, again.Upstream)
-	c.Start(later, again, w)
+	again = c.Start(later, again, w)
 	next, _ := c.Choose(later, w)
 	require.NotEqual(t, home.Upstream, next.Upstream, "one request at a time finds out")
 }
@@ -141,7 +141,7 @@
 	w := want("7")
 	first, _ := c.Choose(start, w)
 	require.True(t, first.HasRoom)
-	c.Start(start, first, w)
+	first = c.Start(start, first, w)
 	second, _ := c.Choose(start, w)
 	require.False(t, second.HasRoom)
 	other, _ := c.Choose(start, want("8"))
@@ -150,3 +150,25 @@
 	third, _ := c.Choose(start, w)
 	require.True(t, third.HasRoom)
 }
+
+// Guards against requests that are sent on to an upstream that has become slow, until its first late answer tells:
+// the age of what it has in hand tells earlier.
+func TestASlowUpstreamIsKnownByTheAgeOfItsRequests(t *testing.T) {
+	c := newChooser("osrednja", fleet(2, "osrednja"))
+	now := start
+	var home placement.Choice
+	for range 20 {
+		home, _ = c.Choose(now, want("7"))
+		home = c.Start(now, home, want("7"))
+		now = now.Add(100 * time.Millisecond)
+		c.End(now, home, want("7"), placement.Served{Elapsed: 100 * time.Millisecond})
+	}
+	home = c.Start(now, home, want("7"))
+	now = now.Add(800 * time.Millisecond)
+	other, _ := c.Choose(now, want("7"))
+	require.NotEqual(t, home.Upstream, other.Upstream, "its request should have been answered 700 ms ago")
+	c.End(now, home, want("7"), placement.Served{Elapsed: 800 * time.Millisecond})
+	now = now.Add(15 * time.Second)
+	again, _ := c.Choose(now, want("7"))
+	require.Equal(t, home.Upstream, again.Upstream, "it is tried again")
+}
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -167,7 +167,7 @@
 		w := want(a.object)
 		choice, ok := choosers[a.instance].Choose(now, w)
 		require.True(t, ok)
-		choosers[a.instance].Start(now, choice, w)
+		choice = choosers[a.instance].Start(now, choice, w)
 		return all[choice.Upstream], func(now time.Time, took time.Duration, load *placement.Load) {
 			choosers[a.instance].End(now, choice, w, placement.Served{Elapsed: took, Load: load})
 		}
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"bluebellhold/allotment"
@@ -30,8 +31,8 @@
 type upstream struct {
 	Upstream
 	hash uint64
-	// inFlight counts the requests that this instance has sent there and that have not ended.
-	inFlight int
+	// sends are the requests that this instance has sent there and that have not ended.
+	sends []send
 	// others is the load that other instances put on it, as of othersAt.
 	others   float64
 	othersAt time.Time
@@ -56,6 +57,40 @@
 	waiting int
 }
 
+// send is a request in flight.
+type send struct {
+	at       time.Time
+	expected time.Duration
+}
+
+// overdueAfter is the multiple of its expected time after which an unanswered request counts as a sign of slowness;
+// work varies by a sixth, and a request may wait for a few others.
+const overdueAfter = 2.0
+
+// overdue returns how many times its expected time the most overdue request has taken so far, and 1 if none is overdue.
+func (u *upstream) overdue(now time.Time) float64 {
+	worst := overdueAfter
+	for _, s := range u.sends {
+		worst = max(worst, float64(now.Sub(s.at))/float64(max(s.expected, time.Millisecond)))
+	}
+	if worst <= overdueAfter {
+		return 1
+	}
+	return min(worst, mostSlowness)
+}
+
+// ended takes a request out of those in flight.
+func (u *upstream) ended(c Choice) {
+	for i, s := range u.sends {
+		if s.at.Equal(c.sentAt) {
+			u.sends = slices.Delete(u.sends, i, i+1)
+			return
+		}
+	}
+}
+
+func (u *upstream) inFlight() int { return len(u.sends) }
+
 type sample struct {
 	work time.Duration
 	at   time.Time
