Let regions with few slots keep only a part of their objects

Their objects moved to other regions one by one when waiting got long, at each instance on its own. Heartbeats now carry the work that callers ask for; a region keeps as many objects as half of its slots can serve, and the rest have their home elsewhere, at the same place for all instances of the region.

--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -17,9 +17,9 @@
 	at        time.Time
 }
 
-func (d *demand) add(now time.Time) {
+func (d *demand) add(now time.Time, amount float64) {
 	d.decay(now)
-	d.perSecond += 1 / demandFor.Seconds()
+	d.perSecond += amount / demandFor.Seconds()
 }
 
 func (d *demand) decay(now time.Time) {
@@ -41,6 +41,36 @@
 	return out
 }
 
+// Work returns the slots that the requests of this instance's callers would keep busy, for its heartbeat.
+func (s *State) Work(now time.Time) map[id.Service]float64 {
+	out := make(map[id.Service]float64, len(s.services))
+	for name, svc := range s.services {
+		svc.work.decay(now)
+		if svc.work.perSecond >= leastDemand {
+			out[name] = math.Round(svc.work.perSecond*demandDigits) / demandDigits
+		}
+	}
+	return out
+}
+
+// fullAt is the part of a region's slots that its own demand may fill; above it, waiting grows faster than the way to
+// another region.
+const fullAt = 0.5
+
+// keepObjects lets each service keep as many of the region's objects as the region has slots for.
+func (s *State) keepObjects() {
+	for name, svc := range s.services {
+		var work float64
+		for _, m := range s.members.all {
+			if m.Region == s.config.Region {
+				work += m.Work[name]
+			}
+		}
+		room := fullAt * float64(svc.chooser.Slots(s.now, s.config.Region))
+		svc.chooser.Keep(min(room/max(work, leastDemand), 1))
+	}
+}
+
 const (
 	// leastDemand is the demand per second that is not worth publishing.
 	leastDemand = 0.02
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -51,6 +51,8 @@
 	Started int64
 	// Demand is what callers ask of the instance per organisation and second.
 	Demand map[id.Organisation]float64
+	// Work is the slots that the requests of the instance's callers would keep busy, per service.
+	Work map[id.Service]float64
 }
 
 // MembersListed reports the heartbeats of all instances.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -123,6 +123,7 @@
 func (s *State) listMembers(list []Member) {
 	s.members.update(s.now, list)
 	s.shareLimits()
+	s.keepObjects()
 }
 
 // Lookup returns the addresses that a caller in the region and data centre should use: the instances of its region
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -82,6 +82,7 @@
 	s.requests[r.id] = r
 	r.service = s.services[s.splits[r.route.ID].next()]
 	r.service.budget.First(s.now)
+	r.service.work.add(s.now, r.service.chooser.Work(r.want).Seconds())
 	s.admit(r)
 }
 
@@ -136,7 +137,7 @@
 	if o == nil || s.current.Organisations[name].Rate <= 0 {
 		return time.Time{}, true
 	}
-	o.demand.add(s.now)
+	o.demand.add(s.now, 1)
 	if o.share.Take(s.now) {
 		return time.Time{}, true
 	}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -20,6 +20,8 @@
 	budget  *retry.Budget
 	// floor is the budget's number of retries per window whatever the traffic.
 	floor int
+	// work is the slots that arriving requests would keep busy.
+	work demand
 }
 
 // placeUpstreams gives each service its upstreams. An upstream that is draining gets no new work and is left out.
--- a/internal/ingress/follow.go
+++ b/internal/ingress/follow.go
@@ -262,15 +262,17 @@
 	Started int64 `json:"started"`
 	// Demand is in requests per second by organisation.
 	Demand map[id.Organisation]float64 `json:"demand,omitempty"`
+	// Work is in slots by service.
+	Work map[id.Service]float64 `json:"work,omitempty"`
 }
 
 func (f *follower) writeMember(ctx context.Context, isLeaving bool) error {
 	f.m.Lock()
-	demand := f.state.Demand(time.Now())
+	demand, work := f.state.Demand(time.Now()), f.state.Work(time.Now())
 	f.m.Unlock()
 	value, err := json.Marshal(member{
 		Address: f.config.Callers, Region: f.config.Region, DataCentre: f.config.DataCentre, Leaving: isLeaving,
-		Started: f.started, Demand: demand,
+		Started: f.started, Demand: demand, Work: work,
 	})
 	if err != nil {
 		return err
@@ -290,7 +292,7 @@
 	}
 	f.addresses[change.Name] = entry.Member{
 		Instance: id.Instance(change.Name), Region: m.Region, DataCentre: m.DataCentre, Address: m.Address,
-		Leaving: m.Leaving, Version: change.Version, Started: m.Started, Demand: m.Demand,
+		Leaving: m.Leaving, Version: change.Version, Started: m.Started, Demand: m.Demand, Work: m.Work,
 	}
 }
 
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -47,6 +47,8 @@
 	// places holds where objects are settled, and buffer the candidates of the current choice.
 	places map[string]*place
 	buffer []candidate
+	// kept is the part of the objects that have their home in the own region.
+	kept float64
 }
 
 // New returns a Chooser without upstreams.
@@ -60,7 +62,7 @@
 	return &Chooser{
 		config: c, upstreams: make(map[id.Upstream]*upstream), classes: make(map[id.Route]*class),
 		paths: make(map[id.Region]time.Duration), places: make(map[string]*place),
-		buffer: make([]candidate, 0, mostCandidates),
+		buffer: make([]candidate, 0, mostCandidates), kept: 1,
 	}
 }
 
--- a/placement/home.go
+++ b/placement/home.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"bluebellhold/id"
 )
 
 // hashText hashes a name once, so that scoring a pair costs a few instructions.
@@ -24,8 +26,12 @@
 
 // score ranks an upstream for an object by weighted rendezvous hashing; the highest score wins.
 func score(object uint64, u *upstream) float64 {
-	unit := (float64(mix(object, u.hash)>>11) + 0.5) / (1 << 53)
-	return -max(float64(u.Slots), 1) / math.Log(unit)
+	return -max(float64(u.Slots), 1) / math.Log(unit(object, u.hash))
+}
+
+// unit combines two hashes into a number between 0 and 1.
+func unit(a, b uint64) float64 {
+	return (float64(mix(a, b)>>11) + 0.5) / (1 << 53)
 }
 
 // ranking holds the upstreams that rank first for an object, the best one first.
@@ -50,6 +56,8 @@
 	regional, remote ranking
 	// near ranks the upstreams of the own data centre.
 	near ranking
+	// lot is a number between 0 and 1 that decides whether the object is among those that the own region keeps.
+	lot float64
 }
 
 // placesKept bounds the objects whose places are kept.
@@ -68,7 +76,7 @@
 		clear(c.places)
 	}
 	object := hashText(w.Object)
-	p := &place{}
+	p := &place{lot: unit(object, hashText(string(c.config.Region)))}
 	for _, u := range c.ordered {
 		if c.closed[u.DataCentre] || !w.allows(u.Region) {
 			continue
@@ -97,6 +105,8 @@
 // home has no room for, and one in another region in case the own one has too few slots. Large answers also have a home
 // in the own data centre, since their transfer counts for more than the memory that it takes.
 //
+// If the own region has too few slots for its demand, a fixed part of its objects has its home elsewhere.
+//
 // An object is asked for in one region mostly, so a place in another region is not expected to know it.
 func (c *Chooser) candidates(now time.Time, w Want, cl *class) []candidate {
 	p := c.place(w)
@@ -108,9 +118,14 @@
 			isHome = false
 		}
 	}
-	add(p.regional.upstreams[0])
-	add(p.regional.upstreams[1])
-	add(p.remote.upstreams[0])
+	if p.lot < c.kept {
+		add(p.regional.upstreams[0])
+		add(p.regional.upstreams[1])
+		add(p.remote.upstreams[0])
+	} else {
+		add(p.remote.upstreams[0])
+		add(p.regional.upstreams[0])
+	}
 	if len(out) < leastCandidates {
 		add(p.remote.upstreams[1])
 	}
@@ -134,3 +149,34 @@
 func (u *upstream) isReachable(now time.Time) bool {
 	return u.failures == 0 || !now.Before(u.retryAt)
 }
+
+// keepStep is the step in which the part of the objects that stay in the region changes. It is below the part of a
+// region's requests that may change the region at once.
+const keepStep = 0.1
+
+// Keep sets the part of the objects that the own region has the slots for; it moves there by one step a call, and
+// ignores changes below half a step.
+func (c *Chooser) Keep(part float64) {
+	switch steps := (part - c.kept) / keepStep; {
+	case steps > 0.5:
+		c.kept = min(c.kept+keepStep, 1)
+	case steps < -0.5:
+		c.kept = max(c.kept-keepStep, 0)
+	}
+}
+
+// Slots returns the slots of the region's upstreams that may get work.
+func (c *Chooser) Slots(now time.Time, region id.Region) id.Slots {
+	var slots id.Slots
+	for _, u := range c.ordered {
+		if u.Region == region && !c.closed[u.DataCentre] && u.isReachable(now) {
+			slots += u.Slots
+		}
+	}
+	return slots
+}
+
+// Work returns the time that a request of the class takes at an upstream that knows its object.
+func (c *Chooser) Work(w Want) time.Duration {
+	return c.class(w).repeat
+}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -172,3 +172,37 @@
 	again, _ := c.Choose(now, want("7"))
 	require.Equal(t, home.Upstream, again.Upstream, "it is tried again")
 }
+
+// Guards against instances of a region that disagree on the objects that the region keeps, against a part that moves at
+// once, and against objects that stay although the region has no slots for them.
+func TestARegionKeepsAFixedPartOfItsObjects(t *testing.T) {
+	list := fleet(4, "osrednja", "koper")
+	a, b := newChooser("osrednja", list), newChooser("osrednja", list)
+	kept := func(c *placement.Chooser) map[string]bool {
+		out := make(map[string]bool)
+		for i := range 400 {
+			choice, _ := c.Choose(start, want(fmt.Sprint(i)))
+			out[fmt.Sprint(i)] = choice.Upstream < "osrednja"
+		}
+		return out
+	}
+	count := func(remote map[string]bool) (n int) {
+		for _, is := range remote {
+			if is {
+				n++
+			}
+		}
+		return n
+	}
+	require.Zero(t, count(kept(a)))
+	before := 0
+	for range 5 {
+		a.Keep(0.5)
+		b.Keep(0.5)
+		now := count(kept(a))
+		require.LessOrEqual(t, now-before, 60, "at most a step of the objects moves")
+		before = now
+	}
+	require.Equal(t, kept(a), kept(b))
+	require.InDelta(t, 200, before, 40)
+}
