Make fewer calls to the store

Heartbeats and their reads come every 2 s instead of 1.5 s, an instance counts as silent after two reads without a new one, the operator's rows are waited for 4.5 s, and the upstreams' rows are read as often as the time in which a leaving one must be known demands (1.5 s at 2.5 s).

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -79,7 +79,7 @@
 		RetryRatio: b.Retries.Ratio, RetryExtra: b.Retries.Extra, RetryWindow: time.Duration(b.Retries.Window),
 		RateWindow: time.Duration(b.Rates.Window), RateExcess: b.Rates.Excess, RateSlack: b.Rates.Slack,
 		ColdExcess: b.Cold.Excess, ColdSlack: b.Cold.Slack, Shift: b.Shift,
-		Grace: time.Duration(b.Grace), LookupTTL: time.Duration(b.TTL),
+		Drain: time.Duration(b.Drain), Grace: time.Duration(b.Grace), LookupTTL: time.Duration(b.TTL),
 	}
 }
 
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -92,6 +92,8 @@
 	ColdSlack  float64
 	// Shift is the largest part of a region's requests that may change the region they run in between two windows.
 	Shift float64
+	// Drain is the time within which an upstream that leaves must get no more requests.
+	Drain time.Duration
 	// Grace is the time between the signal to stop and the end of the process.
 	Grace time.Duration
 	// LookupTTL is the longest time that a look-up's answer may be kept.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// staleAfter is the time without a heartbeat after which an instance is no longer named to callers; three
-	// heartbeats of 1.5 s.
-	staleAfter = 4500 * time.Millisecond
+	// staleAfter is the time without a heartbeat after which an instance is no longer named to callers; it passes after
+	// two reads without a new one, at a pace of 2 s for both.
+	staleAfter = 3500 * time.Millisecond
 	// forgottenAfter is the time without a heartbeat after which an instance no longer holds a part of the limits. An
 	// instance that is cut from the store goes on spending its part, so it is much longer than an outage.
 	forgottenAfter = 5 * time.Minute
@@ -40,7 +40,7 @@
 
 // longestGap bounds the silence that one read can find. After a longer time without a read the store was away or this
 // instance was cut off, which says nothing about the others.
-const longestGap = 2 * time.Second
+const longestGap = 2200 * time.Millisecond
 
 // update takes a read of the heartbeats. Silence counts only while this instance's own heartbeats are accepted.
 func (m *members) update(now time.Time, list []Member) {
--- a/internal/ingress/follow.go
+++ b/internal/ingress/follow.go
@@ -12,20 +12,25 @@
 
 const (
 	// operatorWait is how long a read of the operator's rows waits for a change. It bounds how long a connection that
-	// has gone silent keeps changes from the instance.
-	operatorWait = 3 * time.Second
-	// upstreamsEvery is the pace of reading the upstreams' rows. They change many times a second, so waiting for a
-	// change would read all the time; a leaving upstream must be known within 2.5 s.
-	upstreamsEvery = time.Second
+	// has gone silent keeps changes from the instance; the operator's bounds start 4 s after such a loss.
+	operatorWait = 4500 * time.Millisecond
+	// upstreamsPart is the part of the time in which a leaving upstream must be known that passes between two reads of
+	// the upstreams' rows. They change many times a second, so waiting for a change would read all the time.
+	upstreamsPart = 0.6
+	// leastUpstreamsEvery and mostUpstreamsEvery bound the pace of these reads.
+	leastUpstreamsEvery = 500 * time.Millisecond
+	mostUpstreamsEvery  = 3 * time.Second
 	// heartbeatEvery is the pace of this instance's heartbeat and of reading those of others.
-	heartbeatEvery = 1500 * time.Millisecond
+	heartbeatEvery = 2 * time.Second
 	// failurePause is the pause after a failed read.
 	failurePause = 300 * time.Millisecond
 	// returnGrace is how long the entries of upstreams that vanished during an outage of the store are kept after its
 	// return; upstreams that live write theirs again within 2 s.
 	returnGrace = 2200 * time.Millisecond
 	// outageAfter is the time without an answer that counts as an outage.
-	outageAfter = 2500 * time.Millisecond
+	outageAfter = mostUpstreamsEvery + callMargin
+	// callMargin is more than a read takes while the store answers.
+	callMargin = time.Second
 )
 
 // follower keeps an instance in step with the store.
@@ -59,7 +64,8 @@
 
 func (f *follower) start(ctx context.Context) {
 	f.repeat(ctx, "operator", 0, f.readOperator)
-	f.repeat(ctx, "upstreams", upstreamsEvery, f.readUpstreams)
+	every := time.Duration(upstreamsPart * float64(f.config.Bounds.Drain))
+	f.repeat(ctx, "upstreams", min(max(every, leastUpstreamsEvery), mostUpstreamsEvery), f.readUpstreams)
 	f.repeat(ctx, "members", heartbeatEvery, f.beat)
 }
 
--- a/internal/ingress/world_test.go
+++ b/internal/ingress/world_test.go
@@ -126,7 +126,7 @@
 		Callers: w.address, Readiness: freeAddress(t), Lookups: freeAddress(t), Metrics: freeAddress(t),
 		Bounds: entry.Bounds{
 			RetryRatio: 0.2, RetryExtra: 56, RetryWindow: 10 * time.Second, RateWindow: 5 * time.Second,
-			Grace: 2 * time.Second, LookupTTL: 5 * time.Second,
+			Drain: time.Second, Grace: 2 * time.Second, LookupTTL: 5 * time.Second,
 		},
 		Memory: 256 << 20, Feed: w.feed,
 		Tables:  ingress.Tables{Operator: platform.OperatorTable, Upstreams: platform.ServersTable, Members: "instances"},
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -44,6 +44,8 @@
 	Cold    Excess  `json:"cold"`
 	// Shift is the largest part of a region's requests that may change the region they run in at once.
 	Shift float64 `json:"shift"`
+	// Drain is the time within which a leaving upstream must get no more requests.
+	Drain Duration `json:"drain"`
 	// Grace is the time between the signal to stop and the end of the process.
 	Grace Duration `json:"grace"`
 	// TTL is the longest time that a look-up's answer may be kept.
@@ -120,7 +122,7 @@
 // bounds checks what would divide by zero or lift a limit when it is missing.
 func (c *checker) bounds(b Bounds) {
 	for path, d := range map[string]Duration{
-		"bounds.retries.window": b.Retries.Window, "bounds.rates.window": b.Rates.Window, "bounds.grace": b.Grace,
+		"bounds.retries.window": b.Retries.Window, "bounds.rates.window": b.Rates.Window, "bounds.drain": b.Drain, "bounds.grace": b.Grace,
 		"bounds.ttl": b.TTL,
 	} {
 		if d <= 0 {
