--- a/allotment/window.go
+++ b/allotment/window.go
@@ -59,6 +59,9 @@
 	return id.Tokens(s.total)
 }
 
+// Part returns what may be spent within a window.
+func (s *Share) Part() id.Tokens { return s.most }
+
 // NextAt returns when the next token can be taken, and a time beyond a whole window if the part is below one token.
 func (s *Share) NextAt(now time.Time) time.Time {
 	s.roll(now)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -68,7 +68,7 @@
 	s.emit(Dispatch{
 		Request: r.id, Organisation: r.organisation, Service: r.service.id, Upstream: u.ID, Incarnation: u.Incarnation,
 		Address: u.Address, Deadline: r.deadline, Idempotent: r.route.Idempotent,
-		Expected: choice.Finish,
+		Expected: choice.Finish, Basis: s.basis(r),
 	})
 }
 
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -28,8 +28,7 @@
 	Expected time.Duration
 	// Idempotent requests may use a connection that has been idle.
 	Idempotent bool
-	// Last is set if the answer of this attempt is final whatever it is.
-	Last bool
+	Basis      Basis
 }
 
 // Refuse answers a request without running it further.
@@ -101,4 +100,26 @@
 	Ran bool
 	// After is when it makes sense to come back; zero means at any time.
 	After time.Time
+	// Basis is what decided, for the log.
+	Basis Basis
+}
+
+// Basis is what a decision about a request was taken from.
+type Basis struct {
+	// Version is that of the configuration in force.
+	Version uint64
+	Route   id.Route
+	Service id.Service
+	// Organisation is empty if the key is unknown.
+	Organisation id.Organisation
+	// Spent and Part are what the organisation has used of this instance's part of its limit.
+	Spent, Part id.Tokens
+	// Waiting is the number of requests that waited for the service, and Wait how long a new one was expected to wait.
+	Waiting int
+	Wait    time.Duration
+	// Upstreams is the number of the service's upstreams that may get work, and ListAge how long ago their list changed.
+	Upstreams int
+	ListAge   time.Duration
+	// Sends is the number of upstreams that the request had been sent to.
+	Sends int
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -52,16 +52,16 @@
 	s.counts.Arrived++
 	r := &request{id: e.Request}
 	if !s.isConfigured {
-		s.emit(Refuse{Request: e.Request, Refusal: Refusal{Code: CodeStarting, After: s.now.Add(startingReturn)}})
+		s.refuse(r, Refusal{Code: CodeStarting, After: s.now.Add(startingReturn)})
 		return
 	}
 	r.route = s.hosts.match(e.Host, e.Path)
 	if r.route == nil {
-		s.emit(Refuse{Request: e.Request, Refusal: Refusal{Code: CodeRoute}})
+		s.refuse(r, Refusal{Code: CodeRoute})
 		return
 	}
 	if !s.authorise(r, e) {
-		s.emit(Refuse{Request: e.Request, Refusal: Refusal{Code: CodeKey}})
+		s.refuse(r, Refusal{Code: CodeKey})
 		return
 	}
 	s.setDeadlines(r, e.Patience)
@@ -72,11 +72,11 @@
 		r.want.Object = e.Object
 	}
 	if !r.restrict(organisation.Regions) {
-		s.emit(Refuse{Request: e.Request, Refusal: Refusal{Code: CodeUpstreams}})
+		s.refuse(r, Refusal{Code: CodeUpstreams})
 		return
 	}
 	if after, ok := s.spend(r.organisation); !ok {
-		s.emit(Refuse{Request: e.Request, Refusal: Refusal{Code: CodeRate, After: after}})
+		s.refuse(r, Refusal{Code: CodeRate, After: after})
 		return
 	}
 	s.requests[r.id] = r
@@ -198,6 +198,7 @@
 	if r.mayHaveRun > 0 {
 		refusal.Ran = true
 	}
+	refusal.Basis = s.basis(r)
 	r.waitAt("")
 	delete(s.requests, r.id)
 	s.counts.Refused++
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -32,6 +32,7 @@
 	// isConfigured and isListed are set once the document and the upstreams are known.
 	isConfigured bool
 	isListed     bool
+	listedAt     time.Time
 	current      Configuration
 	hosts        hosts
 	upstreams    map[id.Upstream]Upstream
@@ -113,6 +114,24 @@
 	return s.isConfigured && s.isListed && !s.isStopping
 }
 
+// basis returns what a decision about the request is taken from.
+func (s *State) basis(r *request) Basis {
+	b := Basis{Version: s.current.Version, Organisation: r.organisation, Sends: r.sends}
+	if r.route != nil {
+		b.Route = r.route.ID
+	}
+	if o := s.organisations[r.organisation]; o != nil {
+		b.Spent, b.Part = o.share.Spent(s.now), o.share.Part()
+	}
+	if r.service == nil {
+		return b
+	}
+	b.Service, b.Waiting = r.service.id, r.service.line.Len()
+	b.Wait = r.service.line.Wait(s.now, r.rank)
+	b.Upstreams, b.ListAge = r.service.chooser.Len(), s.now.Sub(s.listedAt)
+	return b
+}
+
 // Counts returns the totals since the start.
 func (s *State) Counts() Counts { return s.counts }
 
@@ -178,7 +197,7 @@
 
 // list replaces the list of upstreams.
 func (s *State) list(upstreams []Upstream) {
-	s.isListed = true
+	s.isListed, s.listedAt = true, s.now
 	s.upstreams = make(map[id.Upstream]Upstream, len(upstreams))
 	for _, u := range upstreams {
 		s.upstreams[u.ID] = u
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -52,7 +52,7 @@
 		var err error
 		c, err = x.pool.dial(d)
 		if err != nil {
-			x.journal.unreached(x, d, err)
+			x.failed = err
 			return entry.Unsent{}, false
 		}
 		x.Post(entry.Connected{Request: x.id, Took: time.Since(started)})
@@ -91,7 +91,7 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return entry.TimedOut{Elapsed: time.Since(started)}
 	}
-	x.journal.broken(x, err)
+	x.failed = err
 	return entry.Broken{}
 }
 
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -36,6 +36,8 @@
 	isCancelled bool
 	answer      *answer
 	dispatch    entry.Dispatch
+	// failed is why the last attempt failed, for the log.
+	failed error
 }
 
 // serve takes one request of a caller.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -236,3 +236,38 @@
 	status, _ := w.get("GET", "/look/1")
 	require.Equal(t, 200, status)
 }
+
+// Guards against a failed request whose id does not lead to the cause in the log.
+func TestTheLogLeadsFromTheIDToTheCause(t *testing.T) {
+	w := newWorld(t, serve(func(r *http.Request) string {
+		if r.RequestURI == "/draw/broken" {
+			return ""
+		}
+		return good(r, "ok")
+	}))
+	lineOf := func(r *http.Request, text string) string {
+		response, err := w.client.Do(r)
+		require.NoError(t, err)
+		response.Body.Close()
+		var found string
+		require.Eventually(t, func() bool {
+			for line := range strings.Lines(w.log.String()) {
+				if strings.Contains(line, "id="+r.Header.Get("X-Bluebellhold-Attempt-Id")+" ") && strings.Contains(line, text) {
+					found = line
+					return true
+				}
+			}
+			return false
+		}, time.Second, 5*time.Millisecond)
+		return found
+	}
+	require.Contains(t, lineOf(w.request("POST", "/draw/broken", ""), "attempt broken"), "unexpected EOF")
+	require.Contains(t, lineOf(w.request("POST", "/draw/broken", ""), "refused"), "code=broken status=502 ran=true")
+	unknown := w.request("GET", "/look/1", "")
+	unknown.Header.Set("Authorization", "Bearer wrong")
+	line := lineOf(unknown, "refused")
+	require.Contains(t, line, "code=key")
+	require.Contains(t, line, "version=7")
+	require.NotContains(t, w.log.String(), "wrong", "keys stay out of the log")
+	require.NotContains(t, w.log.String(), "secret-key")
+}
--- a/internal/ingress/journal.go
+++ b/internal/ingress/journal.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -8,13 +9,16 @@
 	"github.com/charmbracelet/log"
 
 	"bluebellhold/internal/entry"
+	"bluebellhold/placement"
 )
 
 const (
 	// journalKept is how many lines wait to be written; more are dropped, since a log must never hold up a request.
 	journalKept = 512
-	// journalRate bounds the lines per second; a calm instance writes fewer.
-	journalRate = 60
+	// failureRate and successRate bound the lines per second about requests that failed in some way and about those
+	// that did not. What failed is what a user asks about, so successes can't crowd it out.
+	failureRate = 100
+	successRate = 40
 )
 
 // journal writes one line for each decision about a request. It never blocks and bounds its volume.
@@ -24,9 +28,10 @@
 	done    sync.WaitGroup
 	dropped atomic.Uint64
 
-	m     sync.Mutex
-	until time.Time
-	count int
+	m         sync.Mutex
+	until     time.Time
+	failures  int
+	successes int
 }
 
 type line struct {
@@ -54,56 +59,94 @@
 	j.done.Wait()
 }
 
-func (j *journal) add(text string, fields ...any) {
-	if !j.isWithinRate(time.Now()) {
+func (j *journal) failure(text string, fields ...any) {
+	j.add(&j.failures, failureRate, line{text, fields})
+}
+
+func (j *journal) success(text string, fields ...any) {
+	j.add(&j.successes, successRate, line{text, fields})
+}
+
+func (j *journal) add(count *int, limit int, l line) {
+	if !j.isWithinRate(time.Now(), count, limit) {
 		j.dropped.Add(1)
 		return
 	}
 	select {
-	case j.lines <- line{text, fields}:
+	case j.lines <- l:
 	default:
 		j.dropped.Add(1)
 	}
 }
 
-func (j *journal) isWithinRate(now time.Time) bool {
+func (j *journal) isWithinRate(now time.Time, count *int, limit int) bool {
 	j.m.Lock()
 	defer j.m.Unlock()
 	if !now.Before(j.until) {
-		j.until, j.count = now.Add(time.Second), 0
+		j.until, j.failures, j.successes = now.Add(time.Second), 0, 0
 	}
-	j.count++
-	return j.count <= journalRate
+	*count++
+	return *count <= limit
 }
 
+// ended records how an attempt ended.
 func (j *journal) ended(x *exchange, d entry.Dispatch, e entry.Ending) {
-	a, ok := e.(entry.Answered)
-	if !ok {
-		return
+	fields := []any{
+		"id", x.caller.Attempt, "service", d.Service, "object", x.caller.Object, "upstream", d.Upstream,
+		"version", d.Basis.Version, "sends", d.Basis.Sends, "expected", d.Expected, "total", time.Since(x.started),
+	}
+	switch e := e.(type) {
+	case entry.Answered:
+		fields = append(fields, "status", e.Status, "took", e.Elapsed, "load", loadText(e.Load))
+		if e.Failed {
+			j.failure("request: upstream answered with a failure", fields...)
+			return
+		}
+		j.success("request: answered", fields...)
+	case entry.Rejected:
+		j.failure("request: upstream rejected it", append(fields, "load", loadText(e.Load))...)
+	case entry.Misdirected:
+		j.failure("request: another upstream has the address", fields...)
+	case entry.Unsent:
+		j.failure("request: upstream not reached", append(fields, "listage", d.Basis.ListAge, "error", x.failed)...)
+	case entry.Broken:
+		j.failure("request: attempt broken", append(fields, "error", x.failed)...)
+	case entry.TimedOut:
+		j.failure("request: attempt timed out", append(fields, "took", e.Elapsed)...)
+	case entry.Cancelled:
+		j.failure("request: attempt ended for a caller that left", fields...)
 	}
-	j.add("request: answered", "id", x.caller.Attempt, "service", d.Service, "object", x.caller.Object,
-		"upstream", d.Upstream, "status", a.Status, "took", a.Elapsed, "total", time.Since(x.started),
-		"expected", d.Expected, "load", a.Load)
-}
-
-func (j *journal) unreached(x *exchange, d entry.Dispatch, err error) {
-	j.add("request: upstream not reached", "id", x.caller.Attempt, "upstream", d.Upstream, "error", err)
 }
 
-func (j *journal) broken(x *exchange, err error) {
-	j.add("request: attempt broken", "id", x.caller.Attempt, "upstream", x.dispatch.Upstream, "error", err)
+func loadText(l *placement.Load) string {
+	if l == nil {
+		return "unknown"
+	}
+	return fmt.Sprintf("%d+%d/%d", l.Running, l.Waiting, l.Slots)
 }
 
 func (j *journal) foreign(x *exchange, attempt string) {
-	j.add("request: late answer to another request skipped", "id", x.caller.Attempt, "upstream", x.dispatch.Upstream,
+	j.failure("request: late answer to another request skipped", "id", x.caller.Attempt, "upstream", x.dispatch.Upstream,
 		"other", attempt)
 }
 
+// refused records a refusal with what it was decided from.
 func (j *journal) refused(x *exchange, r entry.Refusal, status int) {
-	j.add("request: refused", "id", x.caller.Attempt, "code", r.Code, "status", status, "ran", r.Ran,
-		"after", time.Since(x.started))
+	b := r.Basis
+	fields := []any{
+		"id", x.caller.Attempt, "code", r.Code, "status", status, "ran", r.Ran, "total", time.Since(x.started),
+		"version", b.Version, "route", b.Route, "organisation", b.Organisation, "sends", b.Sends,
+	}
+	switch r.Code {
+	case entry.CodeRate:
+		fields = append(fields, "spent", b.Spent, "part", b.Part)
+	case entry.CodeBusy, entry.CodeUpstreams, entry.CodeTimeout, entry.CodeBroken:
+		fields = append(fields, "service", b.Service, "waiting", b.Waiting, "wait", b.Wait, "upstreams", b.Upstreams,
+			"listage", b.ListAge)
+	}
+	j.failure("request: refused", fields...)
 }
 
 func (j *journal) undelivered(x *exchange, err error) {
-	j.add("request: answer not delivered", "id", x.caller.Attempt, "error", err)
+	j.failure("request: answer not delivered", "id", x.caller.Attempt, "error", err)
 }
--- a/internal/ingress/world_test.go
+++ b/internal/ingress/world_test.go
@@ -86,6 +86,25 @@
 	stop    context.CancelFunc
 	stopped chan struct{}
 	client  *http.Client
+	log     *lockedBuffer
+}
+
+// lockedBuffer collects the log.
+type lockedBuffer struct {
+	m sync.Mutex
+	b strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.m.Lock()
+	defer b.m.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.m.Lock()
+	defer b.m.Unlock()
+	return b.b.String()
 }
 
 func freeAddress(t *testing.T) string {
@@ -98,6 +117,7 @@
 // newWorld starts an instance whose upstreams are the given handlers of raw connections.
 func newWorld(t *testing.T, upstreams ...func(net.Conn)) *world {
 	w := &world{T: t, feed: &memoryFeed{}, address: freeAddress(t), stopped: make(chan struct{})}
+	w.log = &lockedBuffer{}
 	w.client = &http.Client{Transport: &http.Transport{}, Timeout: 10 * time.Second}
 	ctx := context.Background()
 	require.NoError(t, w.feed.Put(ctx, platform.OperatorTable, "config", []byte(document)))
@@ -132,7 +152,7 @@
 		Tables:  ingress.Tables{Operator: platform.OperatorTable, Upstreams: platform.ServersTable, Members: "instances"},
 		Headers: platform.Headers{}, Control: platform.Control,
 		Decoder: platform.Rows{Regions: map[id.DataCentre]id.Region{"osrednja-a": "osrednja"}},
-		Log:     log.New(io.Discard),
+		Log:     log.NewWithOptions(w.log, log.Options{Formatter: log.LogfmtFormatter}),
 	})
 	require.NoError(t, err)
 	ctx, w.stop = context.WithCancel(ctx)
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -100,6 +100,17 @@
 	c.places = make(map[string]*place)
 }
 
+// Len returns the number of upstreams whose data centres are open.
+func (c *Chooser) Len() int {
+	n := 0
+	for _, u := range c.ordered {
+		if !c.closed[u.DataCentre] {
+			n++
+		}
+	}
+	return n
+}
+
 // Share tells the instances that place requests of the service and how many requests per second all of them together
 // may send to a cold upstream.
 func (c *Chooser) Share(now time.Time, self id.Instance, members []id.Instance, cold id.Tokens) {
