Refuse requests that crash the upstreams that run them

An attempt that breaks makes its request a suspect if the upstream's process turns out to have ended within 5 s: it can't be reached, left the list or started again. Two such ends refuse the request; heartbeats tell the other instances. Broken connections alone blame nobody.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -61,6 +61,7 @@
 func (s *State) start(r *request, choice placement.Choice) {
 	u := s.upstreams[choice.Upstream]
 	r.stage = stageRunning
+	r.process = process(u)
 	r.sends++
 	s.counts.Started++
 	r.service.line.Started(s.now)
@@ -93,15 +94,20 @@
 	switch ending := e.Ending.(type) {
 	case Answered:
 		r.mayHaveRun++
+		s.suspects.deaths.Finished(s.now, r.digest)
 		s.answered(r, ending)
 	case Rejected, Misdirected:
 		s.counts.Rejected++
 		s.again(r, Refusal{Code: CodeBusy})
 	case Unsent:
+		if !ending.Stale {
+			s.suspects.died(s.now, r.process)
+		}
 		s.again(r, Refusal{Code: CodeUpstreams})
 	case Broken:
 		r.mayHaveRun++
 		s.counts.Broken++
+		s.suspects.broke(s.now, r.process, r.digest)
 		s.broken(r, ending.Forwarded)
 	case TimedOut:
 		r.mayHaveRun++
@@ -159,6 +165,11 @@
 
 // again sends a request to another upstream if the budget, the deadline and the caller allow it.
 func (s *State) again(r *request, refusal Refusal) {
+	if s.suspects.isRefused(s.now, r.digest) {
+		refusal.Code = CodeSuspect
+		s.refuse(r, refusal)
+		return
+	}
 	r.want.Avoid = append(r.want.Avoid, r.choice.Upstream)
 	r.stage = stageWaiting
 	switch {
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -85,6 +85,8 @@
 	CodeTimeout Code = "timeout"
 	// CodeBroken means that the upstream failed after the request was sent.
 	CodeBroken Code = "broken"
+	// CodeSuspect means that the same request has crashed two upstreams.
+	CodeSuspect Code = "suspect"
 	// CodeBody means that the body was too large or broke off.
 	CodeBody Code = "body"
 	// CodeHeader means that the header was too large.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -221,3 +221,44 @@
 	}
 	require.Zero(t, w.state.Wake(w.now))
 }
+
+// Guards against a request that crashes one upstream after the other, at this instance or at others, and against blaming
+// a request for a connection that broke although the upstream lives.
+func TestARequestThatCrashesUpstreamsIsRefused(t *testing.T) {
+	crash := func(w *world) (entry.Dispatch, []entry.Effect) {
+		w.next++
+		effects := w.reduce(entry.RequestArrived{
+			Request: w.next, Host: "example", Path: "/draw/1", Secret: key, HasSecret: true, Digest: id.DigestOf([]byte("crash")),
+			Patience: 2500 * time.Millisecond,
+		})
+		if d, ok := effects[0].(entry.Dispatch); ok {
+			w.end(d, entry.Broken{})
+			return d, effects
+		}
+		return entry.Dispatch{}, effects
+	}
+	w := newWorld(t)
+	for range 5 {
+		d, _ := crash(w)
+		require.NotEmpty(t, d.Upstream, "nothing shows yet that an upstream died")
+	}
+
+	w = newWorld(t)
+	list := upstreams()
+	for range 2 {
+		d, _ := crash(w)
+		for i := range list {
+			if list[i].ID == d.Upstream {
+				list[i].Incarnation++
+			}
+		}
+		w.reduce(entry.UpstreamsListed{Upstreams: list})
+	}
+	_, effects := crash(w)
+	require.Equal(t, entry.CodeSuspect, refusal(t, effects).Code)
+
+	other := newWorld(t)
+	other.reduce(entry.MembersListed{Members: []entry.Member{{Instance: "koper-1", Suspects: w.state.Suspects(w.now)}}})
+	_, effects = crash(other)
+	require.Equal(t, entry.CodeSuspect, refusal(t, effects).Code)
+}
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -5,6 +5,7 @@
 
 	"bluebellhold/id"
 	"bluebellhold/placement"
+	"bluebellhold/retry"
 )
 
 // Event is something that happened; it is the only input of the reducer besides the time.
@@ -53,6 +54,8 @@
 	Demand map[id.Organisation]float64
 	// Work is the slots that the requests of the instance's callers would keep busy, per service.
 	Work map[id.Service]float64
+	// Suspects are the requests that have crashed upstreams.
+	Suspects []retry.Report
 }
 
 // MembersListed reports the heartbeats of all instances.
@@ -71,6 +74,8 @@
 	HasSecret bool
 	// Patience is the time that the caller will wait from now on; zero means that it did not say.
 	Patience time.Duration
+	// Digest covers the method, the path, the key and the body; a caller's repeat has the same one.
+	Digest id.Digest
 }
 
 // CallerGone reports that the caller closed its connection.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -124,6 +124,7 @@
 	s.members.update(s.now, list)
 	s.shareLimits()
 	s.keepObjects()
+	s.learnSuspects(list)
 }
 
 // Lookup returns the addresses that a caller in the region and data centre should use: the instances of its region
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -28,6 +28,9 @@
 	sends      int
 	mayHaveRun int
 	isGone     bool
+	digest     id.Digest
+	// process is the process of the upstream that has the request.
+	process id.Upstream
 }
 
 type stage int
@@ -50,7 +53,7 @@
 // arrive checks a request against the configuration and its organisation's limit, and then starts or queues it.
 func (s *State) arrive(e RequestArrived) {
 	s.counts.Arrived++
-	r := &request{id: e.Request}
+	r := &request{id: e.Request, digest: e.Digest}
 	if !s.isConfigured {
 		s.refuse(r, Refusal{Code: CodeStarting, After: s.now.Add(startingReturn)})
 		return
@@ -75,6 +78,10 @@
 		s.refuse(r, Refusal{Code: CodeUpstreams})
 		return
 	}
+	if s.suspects.isRefused(s.now, r.digest) {
+		s.refuse(r, Refusal{Code: CodeSuspect, After: s.now.Add(suspectReturn)})
+		return
+	}
 	if after, ok := s.spend(r.organisation); !ok {
 		s.refuse(r, Refusal{Code: CodeRate, After: after})
 		return
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -44,6 +44,7 @@
 	organisations map[id.Organisation]*organisation
 	splits        map[id.Route]*split
 	requests      map[id.Request]*request
+	suspects      suspects
 	isStopping    bool
 	counts        Counts
 
@@ -75,6 +76,7 @@
 		organisations: make(map[id.Organisation]*organisation),
 		splits:        make(map[id.Route]*split),
 		requests:      make(map[id.Request]*request),
+		suspects:      newSuspects(),
 	}
 }
 
@@ -198,10 +200,16 @@
 // list replaces the list of upstreams.
 func (s *State) list(upstreams []Upstream) {
 	s.isListed, s.listedAt = true, s.now
+	before := s.upstreams
 	s.upstreams = make(map[id.Upstream]Upstream, len(upstreams))
 	for _, u := range upstreams {
 		s.upstreams[u.ID] = u
 	}
+	for name, u := range before {
+		if now, ok := s.upstreams[name]; !ok || now.Incarnation != u.Incarnation {
+			s.suspects.died(s.now, process(u))
+		}
+	}
 	s.placeUpstreams()
 	s.pumpAll()
 }
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -145,9 +145,20 @@
 	return entry.RequestArrived{
 		Request: x.id, Host: hostname(x.r.Host), Path: path(x.r.RequestURI), Object: x.caller.Object,
 		Secret: x.caller.Secret, HasSecret: x.caller.HasSecret, Patience: x.caller.Patience,
+		Digest: x.digest(),
 	}
 }
 
+// digest identifies the request beyond this attempt: by method, target, key and body.
+func (x *exchange) digest() id.Digest {
+	var b bytes.Buffer
+	b.Grow(len(x.r.Method) + len(x.r.RequestURI) + len(x.caller.Secret) + len(x.body) + 2)
+	b.WriteString(x.r.Method + "\n" + x.r.RequestURI + "\n")
+	b.Write(x.caller.Secret[:])
+	b.Write(x.body)
+	return id.DigestOf(b.Bytes())
+}
+
 // carryOut does what the effect says and reports whether the exchange has ended.
 func (x *exchange) carryOut(effect entry.RequestEffect) bool {
 	switch e := effect.(type) {
--- a/internal/ingress/follow.go
+++ b/internal/ingress/follow.go
@@ -7,6 +7,7 @@
 
 	"bluebellhold/id"
 	"bluebellhold/internal/entry"
+	"bluebellhold/retry"
 	"bluebellhold/store"
 )
 
@@ -270,15 +271,30 @@
 	Demand map[id.Organisation]float64 `json:"demand,omitempty"`
 	// Work is in slots by service.
 	Work map[id.Service]float64 `json:"work,omitempty"`
+	// Suspects are requests that have crashed upstreams.
+	Suspects []suspect `json:"suspects,omitempty"`
+}
+
+// suspect is a request that has crashed upstreams, or has finished since if there are none.
+type suspect struct {
+	Digest    id.Digest     `json:"digest"`
+	Upstreams []id.Upstream `json:"upstreams,omitempty"`
+	// Age is the time since the last of them, in milliseconds.
+	Age int64 `json:"age"`
 }
 
 func (f *follower) writeMember(ctx context.Context, isLeaving bool) error {
 	f.m.Lock()
-	demand, work := f.state.Demand(time.Now()), f.state.Work(time.Now())
+	now := time.Now()
+	demand, work, reports := f.state.Demand(now), f.state.Work(now), f.state.Suspects(now)
 	f.m.Unlock()
+	var suspects []suspect
+	for _, r := range reports {
+		suspects = append(suspects, suspect{Digest: r.Digest, Upstreams: r.Upstreams, Age: r.Age.Milliseconds()})
+	}
 	value, err := json.Marshal(member{
 		Address: f.config.Callers, Region: f.config.Region, DataCentre: f.config.DataCentre, Leaving: isLeaving,
-		Started: f.started, Demand: demand, Work: work,
+		Started: f.started, Demand: demand, Work: work, Suspects: suspects,
 	})
 	if err != nil {
 		return err
@@ -296,9 +312,15 @@
 		f.log.Warn("members: a row can't be read", "row", change.Name, "error", err)
 		return
 	}
+	var suspects []retry.Report
+	for _, s := range m.Suspects {
+		suspects = append(suspects, retry.Report{
+			Digest: s.Digest, Upstreams: s.Upstreams, Age: time.Duration(s.Age) * time.Millisecond,
+		})
+	}
 	f.addresses[change.Name] = entry.Member{
 		Instance: id.Instance(change.Name), Region: m.Region, DataCentre: m.DataCentre, Address: m.Address,
-		Leaving: m.Leaving, Version: change.Version, Started: m.Started, Demand: m.Demand, Work: m.Work,
+		Leaving: m.Leaving, Version: change.Version, Started: m.Started, Demand: m.Demand, Work: m.Work, Suspects: suspects,
 	}
 }
 
