Tell objects of different routes apart; start without guessing

Cause: routes share the texts of their objects, and an upstream that knew the object of one route was expected to know that of another. Cold runs then counted as warm ones in the measured work.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -11,13 +11,36 @@
 	"bluebellhold/internal/entry"
 )
 
-// Guards against an instance that answers 401 or 404 before it knows what is allowed.
-func TestAnInstanceWithoutConfigurationPromisesNotRun(t *testing.T) {
+// Guards against an instance that answers 401 or 404 before it knows what is allowed, and against one that takes upstreams
+// for missing that it has not read yet.
+func TestAnInstanceThatKnowsTooLittlePromisesNotRun(t *testing.T) {
 	s := entry.New(entry.Config{Instance: "a", Bounds: bounds()})
-	require.False(t, s.IsReady())
-	r := refusal(t, s.Reduce(start, entry.RequestArrived{Request: 1, Host: "example", Path: "/look/1"}))
-	require.Equal(t, entry.CodeStarting, r.Code)
-	require.False(t, r.Ran)
+	for range 2 {
+		require.False(t, s.IsReady())
+		r := refusal(t, s.Reduce(start, entry.RequestArrived{
+			Request: 1, Host: "example", Path: "/look/1", Secret: key, HasSecret: true,
+		}))
+		require.Equal(t, entry.CodeStarting, r.Code)
+		require.False(t, r.Ran)
+		s.Reduce(start, entry.Configured{Configuration: configuration()})
+	}
+}
+
+// Guards against a restarted process that refuses for seconds because its predecessor was asked for more than it could
+// give, and against one that gives its part twice.
+func TestARestartedProcessCountsWhatItsPredecessorSpent(t *testing.T) {
+	w := newWorld(t)
+	c := configuration()
+	c.Version = 2
+	c.Organisations["school"] = entry.Organisation{Rate: 10, Burst: 10}
+	w.reduce(entry.Configured{Configuration: c})
+	w.reduce(entry.MembersListed{Members: []entry.Member{
+		{Instance: "osrednja-1", Version: 1, Started: 99, Demand: map[id.Organisation]float64{"school": 500}},
+	}})
+	_, effects := w.arrive("/look/1")
+	require.Equal(t, entry.CodeRate, refusal(t, effects).Code)
+	w.now = w.now.Add(time.Second)
+	w.answer(w.dispatched("/look/1"))
 }
 
 func TestTheLongestPrefixDecides(t *testing.T) {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -54,7 +54,7 @@
 func (s *State) arrive(e RequestArrived) {
 	s.counts.Arrived++
 	r := &request{id: e.Request, digest: e.Digest}
-	if !s.isConfigured {
+	if !s.isConfigured || !s.isListed {
 		s.refuse(r, Refusal{Code: CodeStarting, After: s.now.Add(startingReturn)})
 		return
 	}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -197,7 +197,8 @@
 		return
 	}
 	o.isRestored = true
-	o.share.Assume(s.now, id.Tokens(own.Demand[name]*s.config.Bounds.RateWindow.Seconds()))
+	spent := id.Tokens(own.Demand[name] * s.config.Bounds.RateWindow.Seconds())
+	o.share.Assume(s.now, min(spent, o.share.Part()))
 }
 
 // list replaces the list of upstreams.
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -80,11 +80,11 @@
 	for _, u := range list {
 		known := c.upstreams[u.ID]
 		if known == nil || known.Incarnation != u.Incarnation {
-			known = &upstream{hash: hashText(string(u.ID)), slowness: 1, works: make(map[string]sample), warming: make(map[string]time.Time)}
+			known = &upstream{hash: hashText(string(u.ID)), slowness: 1, works: make(map[objectKey]sample), warming: make(map[objectKey]time.Time)}
 		}
 		if now.Before(u.ColdUntil) && !now.Before(known.ColdUntil) {
 			// A cold upstream has lost what it remembered.
-			known.works = make(map[string]sample)
+			known.works = make(map[objectKey]sample)
 		}
 		known.Upstream = u
 		kept[u.ID] = known
@@ -175,6 +175,17 @@
 	Avoid []id.Upstream
 }
 
+// key names the object among those of all routes: an object of one route is another one than that of the same name of
+// another route, as far as upstreams remember it.
+func (w Want) key() objectKey {
+	return objectKey{w.Class, w.Object}
+}
+
+type objectKey struct {
+	class  id.Route
+	object string
+}
+
 func (w Want) allows(region id.Region) bool {
 	return len(w.Regions) == 0 || slices.Contains(w.Regions, region)
 }
@@ -307,7 +318,7 @@
 	busy := float64(u.inFlight()) + u.othersNow(now)
 	hasRoom := busy < slots || u.mayProbe(now)
 	wait := time.Duration(max(busy+float64(u.waiting)-slots+1, 0) / slots * float64(cl.home))
-	if begun, ok := u.warming[w.Object]; ok && f != repeated {
+	if begun, ok := u.warming[w.key()]; ok && f != repeated {
 		// The first request for the object makes it warm; one that waits for that needs a fraction of the work.
 		hasRoom = false
 		expected = cl.repeat
@@ -366,7 +377,7 @@
 
 // expect returns the work that the object needs at the upstream when nothing slows it down.
 func (u candidate) expect(now time.Time, w Want, cl *class) (time.Duration, familiarity) {
-	if s, ok := u.works[w.Object]; ok && w.Object != "" && now.Sub(s.at) < memoryFor {
+	if s, ok := u.works[w.key()]; ok && w.Object != "" && now.Sub(s.at) < memoryFor {
 		return s.work, repeated
 	}
 	if u.isHome {
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -57,8 +57,8 @@
 	c.config.Flow.count(now, c.home(w), u.Region)
 	u.sends = append(u.sends, send{at: now, expected: choice.Finish})
 	if w.Object != "" && choice.familiarity != repeated {
-		if _, ok := u.warming[w.Object]; !ok {
-			u.warming[w.Object] = now
+		if _, ok := u.warming[w.key()]; !ok {
+			u.warming[w.key()] = now
 		}
 	}
 	if u.isCold(now) {
@@ -88,7 +88,7 @@
 		return
 	}
 	u.ended(choice)
-	delete(u.warming, w.Object)
+	delete(u.warming, w.key())
 	switch o := o.(type) {
 	case Served:
 		u.failures = 0
@@ -154,7 +154,7 @@
 	if w.Object == "" {
 		return
 	}
-	if _, known := u.works[w.Object]; !known && len(u.works) >= objectsKept {
+	if _, known := u.works[w.key()]; !known && len(u.works) >= objectsKept {
 		u.forgetOldest()
 	}
 	// What the upstream has just handled is warm now, whatever this request took.
@@ -163,17 +163,17 @@
 		// More than the work of an unknown object tells of a slow upstream, not of the object.
 		next = min(work, cl.cold)
 	}
-	u.works[w.Object] = sample{work: next, at: now}
+	u.works[w.key()] = sample{work: next, at: now}
 }
 
 // objectsKept bounds the objects that an instance remembers per upstream; upstreams remember fewer than a hundred.
 const objectsKept = 256
 
 func (u *upstream) forgetOldest() {
-	var oldest string
+	var oldest objectKey
 	var at time.Time
 	for object, s := range u.works {
-		if oldest == "" || s.at.Before(at) {
+		if oldest.object == "" || s.at.Before(at) {
 			oldest, at = object, s.at
 		}
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -211,3 +211,19 @@
 	}
 	require.Zero(t, count(kept(a)))
 }
+
+// Guards against an object of one route that is taken for known because another route has an object of the same name: the
+// upstream does not remember it, so only one cold run of it at a time makes sense.
+func TestObjectsOfRoutesAreDifferent(t *testing.T) {
+	c := newChooser("osrednja", fleet(1, "osrednja"))
+	look, album := want("7"), want("7")
+	album.Class = "album"
+	first, _ := c.Choose(start, look)
+	first = c.Start(start, first, look)
+	c.End(start, first, look, placement.Served{Elapsed: 400 * time.Millisecond})
+	cold, _ := c.Choose(start, album)
+	require.True(t, cold.HasRoom)
+	c.Start(start, cold, album)
+	second, _ := c.Choose(start, album)
+	require.False(t, second.HasRoom, "the first one makes it warm")
+}
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -50,9 +50,9 @@
 	mayCold  bool
 	suspects time.Time
 	// works holds the last measured work per object.
-	works map[string]sample
+	works map[objectKey]sample
 	// warming holds when this instance sent the first request for an object that the upstream was not known to remember.
-	warming map[string]time.Time
+	warming map[objectKey]time.Time
 	// waiting counts this instance's requests that wait for the upstream.
 	waiting int
 }
