Remove the bound on strays; objects return only when their home is far worse

An object that lives elsewhere now returns only if its home is 250 ms worse. No request is held back for the sake of the bound.

--- a/admission/line.go
+++ b/admission/line.go
@@ -80,14 +80,3 @@
 	})
 	return expired
 }
-
-// NextExpiry returns when the first request is given up, or zero if none waits.
-func (l *Line) NextExpiry() time.Time {
-	var next time.Time
-	for _, w := range l.waiters {
-		if next.IsZero() || w.Expires.Before(next) {
-			next = w.Expires
-		}
-	}
-	return next
-}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -95,7 +95,7 @@
 	case Answered:
 		r.mayHaveRun++
 		s.suspects.deaths.Finished(s.now, r.digest)
-		s.answered(r, ending)
+		s.answered(r)
 	case Rejected, Misdirected:
 		s.counts.Rejected++
 		s.again(r, Refusal{Code: CodeBusy})
@@ -143,7 +143,7 @@
 	}
 }
 
-func (s *State) answered(r *request, a Answered) {
+func (s *State) answered(r *request) {
 	s.counts.Answered++
 	if o := s.organisations[r.organisation]; o != nil {
 		o.served++
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -91,8 +91,6 @@
 	CodeBody Code = "body"
 	// CodeHeader means that the header was too large.
 	CodeHeader Code = "header"
-	// CodeStopping means that the instance is about to end.
-	CodeStopping Code = "stopping"
 )
 
 // Refusal explains why a request is answered without an upstream's answer.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -116,25 +116,12 @@
 	return evenPart*even + (1-evenPart)*own.Demand[o]/sum
 }
 
-// isAnySilent reports whether an instance has been lost or is leaving.
-func (m *members) isAnySilent() bool {
-	for _, e := range m.all {
-		if !m.isServing(e) {
-			return true
-		}
-	}
-	return false
-}
-
 func (m *members) isServing(e *member) bool {
 	return !e.Leaving && e.silentFor < staleAfter
 }
 
 func (s *State) listMembers(list []Member) {
 	s.members.update(s.now, list)
-	if s.members.isAnySilent() {
-		s.flow.Disturb(s.now)
-	}
 	s.shareLimits()
 	s.keepObjects()
 	s.learnSuspects(list)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -52,7 +52,7 @@
 	svc := &service{
 		id: name,
 		chooser: placement.New(placement.Config{
-			Region: s.config.Region, DataCentre: s.config.DataCentre, Flow: s.flow,
+			Region: s.config.Region, DataCentre: s.config.DataCentre,
 		}),
 	}
 	svc.chooser.Close(s.evacuated)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -6,7 +6,6 @@
 
 	"bluebellhold/allotment"
 	"bluebellhold/id"
-	"bluebellhold/placement"
 )
 
 // Config configures a State.
@@ -46,7 +45,6 @@
 	splits        map[id.Route]*split
 	requests      map[id.Request]*request
 	suspects      suspects
-	flow          *placement.Flow
 	isStopping    bool
 	counts        Counts
 
@@ -79,7 +77,6 @@
 		splits:        make(map[id.Route]*split),
 		requests:      make(map[id.Request]*request),
 		suspects:      newSuspects(),
-		flow:          placement.NewFlow(c.Region, c.Bounds.Shift),
 	}
 }
 
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -50,7 +50,7 @@
 		// A chunked body may have come with a length as well, and what follows such a request can't be trusted.
 		w.Header().Set("Connection", "close")
 	}
-	if !x.readBody() {
+	if !x.checkHeader() || !x.readBody() {
 		return
 	}
 	defer i.bodies.Add(-int64(len(x.body)))
@@ -66,6 +66,27 @@
 	}
 }
 
+// checkHeader refuses a header that is larger than the operator allows.
+func (x *exchange) checkHeader() bool {
+	x.m.Lock()
+	limit := int(x.state.Limits().Header)
+	x.m.Unlock()
+	size := len(x.r.Method) + len(x.r.RequestURI) + len(x.r.Host)
+	for name, values := range x.r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + headerOverhead
+		}
+	}
+	if limit <= 0 || size <= limit {
+		return true
+	}
+	x.reply(entry.Refusal{Code: entry.CodeHeader})
+	return false
+}
+
+// headerOverhead is the colon, the space and the end of a header's line.
+const headerOverhead = 4
+
 // readBody reads the whole body, since an upstream must never wait for a slow caller.
 func (x *exchange) readBody() bool {
 	if x.r.ContentLength == 0 {
--- a/internal/ingress/follow.go
+++ b/internal/ingress/follow.go
@@ -200,7 +200,8 @@
 	}
 	f.known[change.Name] = u
 	if !isKnown || u.Draining != before.Draining || u.Incarnation != before.Incarnation {
-		f.log.Info("upstreams: changed", "upstream", u.ID, "service", u.Service, "draining", u.Draining)
+		f.log.Info("upstreams: changed", "upstream", u.ID, "service", u.Service, "datacentre", u.DataCentre,
+			"draining", u.Draining)
 	}
 	return !isKnown || !isSame(u, before, now)
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -271,3 +271,19 @@
 	require.NotContains(t, w.log.String(), "wrong", "keys stay out of the log")
 	require.NotContains(t, w.log.String(), "secret-key")
 }
+
+// Guards against a caller that sends more than the operator allows.
+func TestCallersStayWithinTheOperatorsLimits(t *testing.T) {
+	w := newWorld(t, serve(func(r *http.Request) string { return good(r, "ok") }))
+	long := w.request("GET", "/look/1", "")
+	long.Header.Set("X-Long", strings.Repeat("a", 17_000))
+	large := w.request("POST", "/draw/1", strings.Repeat("a", 1_000_001))
+	for r, status := range map[*http.Request]int{
+		long: http.StatusRequestHeaderFieldsTooLarge, large: http.StatusRequestEntityTooLarge,
+	} {
+		response, err := w.client.Do(r)
+		require.NoError(t, err)
+		response.Body.Close()
+		require.Equal(t, status, response.StatusCode)
+	}
+}
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -14,8 +14,6 @@
 	DataCentre id.DataCentre
 	// Prices weigh the transfer of large answers; zero values give the defaults.
 	Prices Prices
-	// Flow bounds how fast requests move between regions; nil means no bound. All services of an instance share one.
-	Flow *Flow
 }
 
 // Prices are the delays that a kilobyte of an answer counts for when it crosses a border, since those links are shared
@@ -63,9 +61,6 @@
 	if c.Prices.Region == 0 {
 		c.Prices.Region = defaultRegionPrice
 	}
-	if c.Flow == nil {
-		c.Flow = NewFlow(c.Region, 0)
-	}
 	return &Chooser{
 		config: c, upstreams: make(map[id.Upstream]*upstream), classes: make(map[id.Route]*class),
 		paths: make(map[id.Region]time.Duration), places: make(map[string]*place),
@@ -90,11 +85,6 @@
 		kept[u.ID] = known
 		c.ordered = append(c.ordered, known)
 	}
-	for name, u := range c.upstreams {
-		if kept[name] != u {
-			c.config.Flow.Disturb(now)
-		}
-	}
 	c.upstreams = kept
 	slices.SortFunc(c.ordered, func(a, b *upstream) int {
 		if a.ID < b.ID {
@@ -215,22 +205,18 @@
 	cl := c.class(w)
 	weight := workWeightAt(c.utilisation(now))
 	if w.Object != "" {
-		if choice, ok := c.best(now, w, cl, weight, c.candidates(now, w, cl), true); ok {
+		if choice, ok := c.best(now, w, cl, weight, c.candidates(now, w, cl)); ok {
 			return choice, true
 		}
 	}
-	if choice, ok := c.best(now, w, cl, weight, c.all(), true); ok {
-		return choice, true
-	}
-	// Nothing else could serve the request.
-	return c.best(now, w, cl, weight, c.all(), false)
+	return c.best(now, w, cl, weight, c.all())
 }
 
 // all returns every upstream as a candidate that does not know the object.
 func (c *Chooser) all() []candidate {
 	out := c.buffer[:0]
 	for _, u := range c.ordered {
-		out = append(out, candidate{u, false})
+		out = append(out, candidate{upstream: u})
 	}
 	c.buffer = out
 	return out
@@ -239,13 +225,11 @@
 // best returns the cheapest of the candidates.
 func (c *Chooser) best(
 	now time.Time, w Want, cl *class, weight float64, candidates []candidate,
-	isBounded bool,
 ) (Choice, bool) {
-	home := c.home(w)
 	var best Choice
 	var least time.Duration
 	for _, u := range candidates {
-		if !c.isUsable(now, u.upstream, w) || isBounded && len(c.closed) == 0 && !c.config.Flow.allows(now, home, u.Region) {
+		if !c.isUsable(now, u.upstream, w) {
 			continue
 		}
 		choice, cost := c.estimate(now, u, w, cl, weight)
@@ -333,9 +317,7 @@
 		Upstream: u.ID, Finish: path + wait + work, HasRoom: hasRoom,
 		familiarity: f, expected: expected, path: path, isClean: busy < slots,
 	}
-	if !u.isHome {
-		path += homeBias
-	}
+	path += u.bias
 	cost := path + wait + work + time.Duration((weight-1)*float64(work)) + time.Duration(u.shedNow(now)*float64(cl.cold))
 	return choice, cost + c.transfer(u.upstream, cl)
 }
@@ -365,6 +347,10 @@
 // the place that all instances agree on, and to upstreams that have joined.
 const homeBias = 60 * time.Millisecond
 
+// returnBias is the same for an object whose home is in another region since the own one has too few slots. It is more
+// than the way there and back, so that the object does not return whenever the own region has room for a moment.
+const returnBias = 250 * time.Millisecond
+
 const (
 	// memoryFor is how long a measured work of an object is taken as what the upstream still needs.
 	memoryFor = time.Minute
--- a/placement/home.go
+++ b/placement/home.go
@@ -94,23 +94,13 @@
 	return p
 }
 
-// home returns the region that an object has its home in, and the own region for a request without an object.
-func (c *Chooser) home(w Want) id.Region {
-	if w.Object == "" {
-		return c.config.Region
-	}
-	p := c.place(w)
-	if u := p.remote.upstreams[0]; u != nil && (p.lot >= c.kept || p.regional.upstreams[0] == nil) {
-		return u.Region
-	}
-	return c.config.Region
-}
-
 // candidate is an upstream that an object may run on; at its home the object is expected to be known, since the other
 // instances of the region send its requests there as well.
 type candidate struct {
 	*upstream
 	isHome bool
+	// bias is how much later the object may finish at its home.
+	bias time.Duration
 }
 
 // candidates returns the upstreams for an object: its home in the own region, a second one there that takes what the
@@ -123,26 +113,28 @@
 func (c *Chooser) candidates(now time.Time, w Want, cl *class) []candidate {
 	p := c.place(w)
 	out := c.buffer[:0]
-	isHome := true
-	add := func(u *upstream) {
-		if u != nil && u.isReachable(now) {
-			out = append(out, candidate{u, isHome})
-			isHome = false
+	add := func(u *upstream, bias time.Duration) {
+		if u == nil || !u.isReachable(now) {
+			return
+		}
+		if len(out) == 0 {
+			bias = 0
 		}
+		out = append(out, candidate{upstream: u, isHome: len(out) == 0, bias: bias})
 	}
 	if p.lot < c.kept {
-		add(p.regional.upstreams[0])
-		add(p.regional.upstreams[1])
-		add(p.remote.upstreams[0])
+		add(p.regional.upstreams[0], 0)
+		add(p.regional.upstreams[1], homeBias)
+		add(p.remote.upstreams[0], homeBias)
 	} else {
-		add(p.remote.upstreams[0])
-		add(p.regional.upstreams[0])
+		add(p.remote.upstreams[0], 0)
+		add(p.regional.upstreams[0], returnBias)
 	}
 	if len(out) < leastCandidates {
-		add(p.remote.upstreams[1])
+		add(p.remote.upstreams[1], homeBias)
 	}
 	if near := p.near.upstreams[0]; (w.IsBulk || cl.size > bulkSize) && near != nil && near.isReachable(now) {
-		out = append(out, candidate{near, true})
+		out = append(out, candidate{upstream: near, isHome: true})
 	}
 	c.buffer = out
 	return out
@@ -163,7 +155,7 @@
 }
 
 // keepStep is the step in which the part of the objects that stay in the region changes with each heartbeat: a third of
-// the part of a region's requests that may change the region from one window of 2 s to the next.
+// the part of a region's requests that may change the region within 2 s.
 const keepStep = 0.05
 
 // startRoom is how many times its even part of the demand a region is assumed to have the slots for before the demand is
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -54,7 +54,6 @@
 	if u == nil {
 		return choice
 	}
-	c.config.Flow.count(now, c.home(w), u.Region)
 	u.sends = append(u.sends, send{at: now, expected: choice.Finish})
 	if w.Object != "" && choice.familiarity != repeated {
 		if _, ok := u.warming[w.key()]; !ok {
@@ -103,10 +102,8 @@
 		u.fail(now, longestRetry)
 	case Unreached:
 		u.fail(now, shortestRetry)
-		c.config.Flow.Disturb(now)
 		u.suspects = now.Add(coldSuspicion)
 	case Broken:
-		c.config.Flow.Disturb(now)
 		u.shed, u.shedAt = u.shedNow(now)+shedWeight*(1-u.shedNow(now)), now
 	case Overdue:
 		u.slow(now, math.Max(float64(o.Elapsed)/float64(max(choice.Finish, time.Millisecond)), u.slowFactor(now)))
