--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -78,7 +78,7 @@
 	return entry.Bounds{
 		RetryRatio: b.Retries.Ratio, RetryExtra: b.Retries.Extra, RetryWindow: time.Duration(b.Retries.Window),
 		RateWindow: time.Duration(b.Rates.Window), RateExcess: b.Rates.Excess, RateSlack: b.Rates.Slack,
-		ColdExcess: b.Cold.Excess, ColdSlack: b.Cold.Slack, Shift: b.Shift,
+		ColdExcess: b.Cold.Excess, ColdSlack: b.Cold.Slack,
 		Drain: time.Duration(b.Drain), Grace: time.Duration(b.Grace), LookupTTL: time.Duration(b.TTL),
 	}
 }
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -90,8 +90,6 @@
 	// ColdExcess and ColdSlack are what a cold upstream tolerates beyond its rate.
 	ColdExcess float64
 	ColdSlack  float64
-	// Shift is the largest part of a region's requests that may change the region they run in between two windows.
-	Shift float64
 	// Drain is the time within which an upstream that leaves must get no more requests.
 	Drain time.Duration
 	// Grace is the time between the signal to stop and the end of the process.
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -42,8 +42,6 @@
 	Retries Retries `json:"retries"`
 	Rates   Rates   `json:"rates"`
 	Cold    Excess  `json:"cold"`
-	// Shift is the largest part of a region's requests that may change the region they run in at once.
-	Shift float64 `json:"shift"`
 	// Drain is the time within which a leaving upstream must get no more requests.
 	Drain Duration `json:"drain"`
 	// Grace is the time between the signal to stop and the end of the process.
@@ -132,7 +130,7 @@
 	for path, n := range map[string]float64{
 		"bounds.retries.ratio": b.Retries.Ratio, "bounds.retries.extra": b.Retries.Extra,
 		"bounds.rates.excess": b.Rates.Excess, "bounds.rates.slack": b.Rates.Slack,
-		"bounds.cold.excess": b.Cold.Excess, "bounds.cold.slack": b.Cold.Slack, "bounds.shift": b.Shift,
+		"bounds.cold.excess": b.Cold.Excess, "bounds.cold.slack": b.Cold.Slack,
 	} {
 		if n < 0 {
 			c.Report(path, strconv.FormatFloat(n, 'g', -1, 64), "a number of at least 0")
--- /dev/null
+++ b/internal/settings/entry_test.go
@@ -0,0 +1,52 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhold/internal/settings"
+)
+
+const entrySettings = `{"name":"front-1","region":"koper","datacentre":"koper-a","regions":{"koper-a":"koper"},
+"callers":"10.1.0.8:8206","ready":"10.1.0.8:8201","lookup":"10.1.0.8:8209","metrics":"10.1.0.8:7600",
+"store":"10.200.1.7:8205","memory":284,"bounds":{"retries":{"ratio":0.2,"extra":56,"window":"10s"},
+"rates":{"window":"5s","excess":0.1,"slack":20},"cold":{"excess":1.5,"slack":5},"drain":"2500ms",
+"grace":"6s","ttl":"5s"}}`
+
+func loadEntry(t *testing.T, text string) (settings.Entry, error) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return settings.LoadEntry(path)
+}
+
+func TestEntrySettingsAreLoaded(t *testing.T) {
+	s, err := loadEntry(t, entrySettings)
+	require.NoError(t, err)
+	require.Equal(t, "info", s.Log)
+	require.Equal(t, settings.Duration(2500*time.Millisecond), s.Bounds.Drain)
+	require.Equal(t, 56.0, s.Bounds.Retries.Extra)
+}
+
+// Guards against wrong settings that are found only when they are used, and against an error that doesn't name the field.
+func TestWrongEntrySettingsNameTheField(t *testing.T) {
+	for from, to := range map[string]string{
+		`"10.1.0.8:8206"`: `"host:8206"`, `"memory":284`: `"memory":1`, `"drain":"2500ms"`: `"drain":"0s"`,
+		`"ratio":0.2`: `"ratio":-1`, `{"koper-a":"koper"}`: `{"koper-a":"other"}`, `"grace":"6s"`: `"grace":"6"`,
+		`"ttl":"5s"`: `"ttl":"5s","unknown":1`,
+	} {
+		field := map[string]string{
+			`"10.1.0.8:8206"`: "callers", `"memory":284`: "memory", `"drain":"2500ms"`: "bounds.drain",
+			`"ratio":0.2`: "bounds.retries.ratio", `{"koper-a":"koper"}`: "regions", `"grace":"6s"`: "bounds.grace",
+			`"ttl":"5s"`: "bounds.unknown",
+		}[from]
+		_, err := loadEntry(t, strings.Replace(entrySettings, from, to, 1))
+		var invalid *settings.InvalidError
+		require.ErrorAs(t, err, &invalid, to)
+		require.Equal(t, field, invalid.Fields[0].Path)
+	}
+}
