--- a/internal/settings/doc.go
+++ b/internal/settings/doc.go
@@ -17,4 +17,6 @@
 //	limits      optional: body, the largest body in bytes that is buffered (default 1048576); header, the largest
 //	            request header in bytes (default 65536); queue, the requests that may wait (default 1024)
 //	testing     optional: enables the hooks for fault injection and addresses with port 0; default: false
+//
+// With --entry the file holds Entry, whose fields docs/OPERATIONS.md explains.
 package settings
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -19,14 +20,14 @@
 // Prices are the delays that a kilobyte of an answer counts for when it crosses a border, since those links are shared
 // and paid for.
 type Prices struct {
-	// DataCentre is for answers from another data centre of the region, by default 3 ms.
+	// DataCentre is for answers from another data centre of the region, by default 8 ms.
 	DataCentre time.Duration
-	// Region is for answers from another region, by default 4 ms.
+	// Region is for answers from another region, by default 8 ms.
 	Region time.Duration
 }
 
-// The defaults of Prices: an answer of 100 kB from another data centre then counts like the 300 ms of work that a
-// warm upstream saves.
+// The defaults of Prices: an answer of 100 kB from elsewhere counts like 800 ms, more than a cold run at a near upstream
+// costs its caller.
 const (
 	defaultDataCentrePrice = 8 * time.Millisecond
 	defaultRegionPrice     = 8 * time.Millisecond
@@ -41,6 +42,7 @@
 	classes map[id.Route]*class
 	paths   map[id.Region]time.Duration
 	closed  map[id.DataCentre]bool
+	// cold is what all members together may send to a cold upstream within a second.
 	cold    id.Tokens
 	members []id.Instance
 	self    id.Instance
@@ -75,7 +77,10 @@
 	for _, u := range list {
 		known := c.upstreams[u.ID]
 		if known == nil || known.Incarnation != u.Incarnation {
-			known = &upstream{hash: hashText(string(u.ID)), slowness: 1, works: make(map[objectKey]sample), warming: make(map[objectKey]time.Time)}
+			known = &upstream{
+				hash: hashText(string(u.ID)), slowness: 1,
+				works: make(map[objectKey]sample), warming: make(map[objectKey]time.Time),
+			}
 		}
 		if now.Before(u.ColdUntil) && !now.Before(known.ColdUntil) {
 			// A cold upstream has lost what it remembered.
@@ -86,12 +91,7 @@
 		c.ordered = append(c.ordered, known)
 	}
 	c.upstreams = kept
-	slices.SortFunc(c.ordered, func(a, b *upstream) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(c.ordered, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
 	c.places = make(map[string]*place)
 	if !c.isKept {
 		c.assumeKept()
@@ -277,7 +277,7 @@
 // isCold reports whether the cold rate binds: the upstream says so, or it has come back after a failure and nothing
 // newer is known.
 func (u *upstream) isCold(now time.Time) bool {
-	return now.Before(u.ColdUntil) || now.Before(u.suspects)
+	return now.Before(u.ColdUntil) || now.Before(u.maybeColdUntil)
 }
 
 // class returns the measured work of a route.
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -102,7 +102,7 @@
 		u.fail(now, longestRetry)
 	case Unreached:
 		u.fail(now, shortestRetry)
-		u.suspects = now.Add(coldSuspicion)
+		u.maybeColdUntil = now.Add(coldSuspicion)
 	case Broken:
 		u.shed, u.shedAt = u.shedNow(now)+shedWeight*(1-u.shedNow(now)), now
 	case Overdue:
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -46,9 +46,10 @@
 	shed   float64
 	shedAt time.Time
 	// cold is this instance's part of the cold rate, and mayCold is false where other instances hold all parts.
-	cold     allotment.Share
-	mayCold  bool
-	suspects time.Time
+	cold    allotment.Share
+	mayCold bool
+	// maybeColdUntil is how long an upstream that came back after a failure is treated as cold.
+	maybeColdUntil time.Time
 	// works holds the last measured work per object.
 	works map[objectKey]sample
 	// warming holds when this instance sent the first request for an object that the upstream was not known to remember.
