Hold parts of a rate to the least of the window while near the limit

One instance had spent its large part when it got a smaller one and another a larger. With seven reducers and a demand that moves, 749 requests ran in a window of 680 (test).

Refusals in the first seconds are the price.

--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -82,10 +82,9 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
-	// RateWindow is the span over which an organisation's limit is judged; the sum may exceed rate and burst by the
-	// part RateExcess and RateSlack requests.
+	// RateWindow is the span over which an organisation's limit is judged; the sum may exceed rate and burst by
+	// RateSlack requests.
 	RateWindow time.Duration
-	RateExcess float64
 	RateSlack  float64
 	// ColdExcess and ColdSlack are what a cold upstream tolerates beyond its rate.
 	ColdExcess float64
@@ -102,15 +101,16 @@
 	// margin is the part of a fleet-wide bound that instances spend. The rest covers requests that arrive closer
 	// together than they were sent and instances that count different members for a moment.
 	margin = 0.9
-	// excessPart is the part of the tolerated excess over an organisation's limit that instances spend. The rest
-	// covers parts that were computed from different heartbeats.
-	excessPart = 0.4
+	// slackPart is the part of the tolerated number of requests beyond an organisation's limit that instances spend, so
+	// that small limits can be divided. The rest and all of the relative excess cover parts that were computed from
+	// different heartbeats, and requests that ran twice.
+	slackPart = 0.4
 )
 
 // most returns what all instances together may admit of an organisation within the window.
 func (b Bounds) most(o Organisation) id.Tokens {
 	limit := float64(o.Rate)*b.RateWindow.Seconds() + float64(o.Burst)
-	return id.Tokens(limit*(1+b.RateExcess*excessPart) + b.RateSlack*excessPart)
+	return id.Tokens(limit + b.RateSlack*slackPart)
 }
 
 // mostCold returns what all instances together may send to a cold upstream of a service within a second.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -105,10 +105,7 @@
 // each of them has published, this one included, so the parts add up to one where all have read the same.
 func (m *members) part(o id.Organisation) float64 {
 	even := 1 / float64(m.count())
-	var sum float64
-	for _, e := range m.all {
-		sum += e.Demand[o]
-	}
+	sum := m.demand(o)
 	own := m.all[m.self]
 	if sum <= 0 || own == nil {
 		return even
@@ -116,6 +113,15 @@
 	return evenPart*even + (1-evenPart)*own.Demand[o]/sum
 }
 
+// demand returns what callers ask for of an organisation, per second at all instances.
+func (m *members) demand(o id.Organisation) float64 {
+	var sum float64
+	for _, e := range m.all {
+		sum += e.Demand[o]
+	}
+	return sum
+}
+
 func (m *members) isServing(e *member) bool {
 	return !e.Leaving && e.silentFor < staleAfter
 }
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"bluebellhold/allotment"
@@ -55,8 +56,10 @@
 type organisation struct {
 	share allotment.Share
 	// demand is what callers have asked for, per second.
-	demand          demand
-	isRestored      bool
+	demand     demand
+	isRestored bool
+	// parts are the parts of the limit computed lately.
+	parts           []pastPart
 	served, refused uint64
 }
 
@@ -178,7 +181,9 @@
 	for name, o := range s.organisations {
 		if limit := s.current.Organisations[name]; limit.Rate > 0 {
 			most := s.config.Bounds.most(limit)
-			o.share.Set(s.now, id.Tokens(s.members.part(name))*most, s.config.Bounds.RateWindow)
+			part := o.safePart(s.now, s.members.part(name), s.members.demand(name) > nearLimit*float64(limit.Rate),
+				s.config.Bounds.RateWindow)
+			o.share.Set(s.now, id.Tokens(part)*most, s.config.Bounds.RateWindow)
 			s.restore(name, o)
 		}
 	}
@@ -187,6 +192,34 @@
 	}
 }
 
+// pastPart is a part of a limit and when it was computed.
+type pastPart struct {
+	at   time.Time
+	part float64
+}
+
+const (
+	// nearLimit is the part of its rate that an organisation may ask for before its parts are held to what is safe.
+	nearLimit = 0.7
+	// partsLag is more than the time between two heartbeats, by which the instances' views differ.
+	partsLag = 2500 * time.Millisecond
+)
+
+// safePart returns the part of a limit that this instance may spend. While an organisation is near its limit, that is the
+// least part of the last window: what all instances spend in a window is then at most the sum of the parts at any one
+// moment in it, however the parts move. Farther from the limit, a part that has just grown harms nobody.
+func (o *organisation) safePart(now time.Time, part float64, isNear bool, window time.Duration) float64 {
+	o.parts = slices.DeleteFunc(o.parts, func(p pastPart) bool { return now.Sub(p.at) > window+partsLag })
+	o.parts = append(o.parts, pastPart{now, part})
+	if !isNear {
+		return part
+	}
+	for _, p := range o.parts {
+		part = min(part, p.part)
+	}
+	return part
+}
+
 // restore counts what a predecessor of this process may have spent, as its last heartbeat tells.
 func (s *State) restore(name id.Organisation, o *organisation) {
 	own := s.members.predecessor
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -60,7 +60,6 @@
 // Rates says how the organisations' limits are judged.
 type Rates struct {
 	Window Duration `json:"window"`
-	Excess float64  `json:"excess"`
 	Slack  float64  `json:"slack"`
 }
 
@@ -129,7 +128,7 @@
 	}
 	for path, n := range map[string]float64{
 		"bounds.retries.ratio": b.Retries.Ratio, "bounds.retries.extra": b.Retries.Extra,
-		"bounds.rates.excess": b.Rates.Excess, "bounds.rates.slack": b.Rates.Slack,
+		"bounds.rates.slack": b.Rates.Slack,
 		"bounds.cold.excess": b.Cold.Excess, "bounds.cold.slack": b.Cold.Slack,
 	} {
 		if n < 0 {
