Remove state that nothing reads from the entry reducer

Answers are read whole before any of them is passed on, so no ending is ever forwarded in part; the dispatch's flag of idempotence, two counters per organisation and two accessors had no reader. Behaviour is unchanged. Formatter, linter, vet and the tests of internal/entry and internal/ingress pass.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -68,7 +68,7 @@
 	r.choice = r.service.chooser.Start(s.now, choice, r.want)
 	s.emit(Dispatch{
 		Request: r.id, Organisation: r.organisation, Service: r.service.id, Upstream: u.ID, Incarnation: u.Incarnation,
-		Address: u.Address, Deadline: r.deadline, Idempotent: r.route.Idempotent,
+		Address: u.Address, Deadline: r.deadline,
 		Expected: choice.Finish, Basis: s.basis(r),
 	})
 }
@@ -108,7 +108,7 @@
 		r.mayHaveRun++
 		s.counts.Broken++
 		s.suspects.broke(s.now, r.process, r.digest)
-		s.broken(r, ending.Forwarded)
+		s.broken(r)
 	case TimedOut:
 		r.mayHaveRun++
 		s.counts.TimedOut++
@@ -145,15 +145,12 @@
 
 func (s *State) answered(r *request) {
 	s.counts.Answered++
-	if o := s.organisations[r.organisation]; o != nil {
-		o.served++
-	}
 	delete(s.requests, r.id)
 	s.emit(Deliver{Request: r.id})
 }
 
-func (s *State) broken(r *request, forwarded bool) {
-	if forwarded || !r.route.Idempotent || r.mayHaveRun >= max(r.route.Attempts, 1) {
+func (s *State) broken(r *request) {
+	if !r.route.Idempotent || r.mayHaveRun >= max(r.route.Attempts, 1) {
 		s.refuse(r, Refusal{Code: CodeBroken})
 		return
 	}
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -26,9 +26,7 @@
 	Deadline     time.Time
 	// Expected is how long the answer is expected to take.
 	Expected time.Duration
-	// Idempotent requests may use a connection that has been idle.
-	Idempotent bool
-	Basis      Basis
+	Basis    Basis
 }
 
 // Refuse answers a request without running it further.
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -140,15 +140,11 @@
 }
 
 // Broken is a connection that failed, or bytes that are no answer, after the request was sent.
-type Broken struct {
-	// Forwarded is set if a part of the answer has already reached the caller.
-	Forwarded bool
-}
+type Broken struct{}
 
 // TimedOut is an attempt that was ended at its deadline.
 type TimedOut struct {
-	Elapsed   time.Duration
-	Forwarded bool
+	Elapsed time.Duration
 }
 
 // Cancelled is an attempt that was ended because the caller went away.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -155,7 +155,6 @@
 	if o.share.Take(s.now) {
 		return time.Time{}, true
 	}
-	o.refused++
 	return o.share.NextAt(s.now), false
 }
 
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -59,8 +59,7 @@
 	demand     demand
 	isRestored bool
 	// parts are the parts of the limit computed lately.
-	parts           []pastPart
-	served, refused uint64
+	parts []pastPart
 }
 
 // Counts are totals since the start.
@@ -137,15 +136,9 @@
 	return b
 }
 
-// Counts returns the totals since the start.
-func (s *State) Counts() Counts { return s.counts }
-
 // Limits returns what callers may send, and zero values before a configuration is known.
 func (s *State) Limits() CallerLimits { return s.current.Limits }
 
-// Version returns the version of the configuration in force.
-func (s *State) Version() uint64 { return s.current.Version }
-
 func (s *State) emit(e Effect) { s.out = append(s.out, e) }
 
 // configure puts a document in force unless it is older than the current one.
