Claim parts of a limit in the heartbeat and use them once the sum fits

Cause: each instance computed its part from its own view of the others. Ruled out: the window counter (TestShareHoldsInEveryWindow), the clock of suspended instances. The least part of the last window, used near the limit until now, holds only where all have read the same. Change: an instance publishes what it holds or has spent, claims what is free, and uses a claim after it has read all heartbeats back and the sum fits. Heartbeats replace the version that was read, so that a write that is carried out late does not undo a newer one. The heartbeat also tells what was spent, and a jump is told at once, for the successor of a killed process. Cold rates start spent after a restart.

--- a/allotment/window.go
+++ b/allotment/window.go
@@ -33,15 +33,44 @@
 	s.most, s.width = most, max(span/shareSlots, 1)
 }
 
-// Assume counts as spent what a predecessor may have spent within its last window.
+// Assume counts as spent what a predecessor that has ended may have spent within its last window.
 func (s *Share) Assume(now time.Time, spent id.Tokens) {
 	s.roll(now)
-	for i := range s.counts {
-		s.counts[i] += float64(spent) / float64(len(s.counts))
+	for i := int64(1); i <= shareSlots; i++ {
+		s.counts[(s.latest+i)%int64(len(s.counts))] += float64(spent) / shareSlots
 	}
 	s.total += float64(spent)
 }
 
+// Spending returns the tokens spent in the parts of the current window, the newest last.
+func (s *Share) Spending(now time.Time) []id.Tokens {
+	s.roll(now)
+	var out []id.Tokens
+	for i := int64(1); i <= int64(len(s.counts)); i++ {
+		count := id.Tokens(s.counts[(s.latest+i)%int64(len(s.counts))])
+		if count > 0 || len(out) > 0 {
+			out = append(out, count)
+		}
+	}
+	return out
+}
+
+// Restore counts the spending of a predecessor that has ended, as if it had ended just now, and tokens that it may have
+// spent since it told.
+func (s *Share) Restore(now time.Time, spending []id.Tokens, since id.Tokens) {
+	s.roll(now)
+	add := func(age int, count id.Tokens) {
+		if age < len(s.counts) {
+			s.counts[(s.latest+int64(len(s.counts)-age))%int64(len(s.counts))] += float64(count)
+			s.total += float64(count)
+		}
+	}
+	for i, count := range spending {
+		add(len(spending)-1-i, count)
+	}
+	add(0, since)
+}
+
 // Take spends one token if the part allows it.
 func (s *Share) Take(now time.Time) bool {
 	s.roll(now)
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -77,7 +77,7 @@
 func entryBounds(b settings.Bounds) entry.Bounds {
 	return entry.Bounds{
 		RetryRatio: b.Retries.Ratio, RetryExtra: b.Retries.Extra, RetryWindow: time.Duration(b.Retries.Window),
-		RateWindow: time.Duration(b.Rates.Window), RateSlack: b.Rates.Slack,
+		RateWindow: time.Duration(b.Rates.Window), RateExcess: b.Rates.Excess, RateSlack: b.Rates.Slack,
 		ColdExcess: b.Cold.Excess, ColdSlack: b.Cold.Slack,
 		Drain: time.Duration(b.Drain), Grace: time.Duration(b.Grace), LookupTTL: time.Duration(b.TTL),
 	}
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -82,9 +82,10 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
-	// RateWindow is the span over which an organisation's limit is judged; the sum may exceed rate and burst by
-	// RateSlack requests.
+	// RateWindow is the span over which an organisation's limit is judged; the sum may exceed rate and burst by the part
+	// RateExcess and by RateSlack requests.
 	RateWindow time.Duration
+	RateExcess float64
 	RateSlack  float64
 	// ColdExcess and ColdSlack are what a cold upstream tolerates beyond its rate.
 	ColdExcess float64
--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -70,6 +70,9 @@
 			svc.chooser.Restore(kept)
 			svc.work = demand{perSecond: own.Work[name], at: s.now}
 		}
+		if !svc.isRestored {
+			svc.chooser.AssumeCold(s.now)
+		}
 		svc.isRestored = true
 	}
 }
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -45,6 +45,10 @@
 	Request id.Request
 }
 
+// Tell writes a heartbeat soon: a successor of this process would not know what has been spent lately.
+type Tell struct{}
+
+func (Tell) isEffect()     {}
 func (Dispatch) isEffect() {}
 func (Refuse) isEffect()   {}
 func (Deliver) isEffect()  {}
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -58,6 +58,10 @@
 	Work map[id.Service]float64
 	// Kept is the part of the objects that stay in the instance's region, per service.
 	Kept map[id.Service]float64
+	// Held is the part of each organisation's limit that the instance holds or claims.
+	Held map[id.Organisation]float64
+	// Spent is what the instance has spent of each limit within the last window, in equal spans, the newest last.
+	Spent map[id.Organisation][]id.Tokens
 	// Suspects are the requests that have crashed upstreams.
 	Suspects []retry.Report
 }
--- /dev/null
+++ b/internal/entry/holding.go
@@ -0,0 +1,198 @@
+package entry
+
+import (
+	"math"
+	"time"
+
+	"bluebellhold/allotment"
+	"bluebellhold/id"
+)
+
+// holding is this instance's part of an organisation's limit.
+//
+// What all instances hold adds up to the whole at most, however their views differ. Each publishes its part, or what it
+// has spent of the limit within the last window if that is more. To grow, it claims a part in its heartbeat, reads those of
+// all others, and uses the claim only if the sum fits; heartbeats are written and read one after the other by the store, so of
+// two claims that don't fit together at least one is seen. A part shrinks at once and is published afterwards.
+type holding struct {
+	share allotment.Share
+	// part is what the instance uses, and claim what its next heartbeat says.
+	part, claim float64
+	// told is what the last heartbeat said that has been spent.
+	told id.Tokens
+}
+
+const (
+	// heldDigits keeps heartbeats short: ten thousandths are published, rounded up.
+	heldDigits = 1e4
+	// heldSlack is more than the rounding of all instances' parts of a fleet of some hundred adds up to.
+	heldSlack = 0.01
+	// leastGrowth is the part of a limit that is not worth claiming.
+	leastGrowth = 0.002
+)
+
+// Held returns the parts of the organisations' limits that this instance claims in its next heartbeat.
+//
+// Until a configuration is known it is what the predecessor held, and nothing before the first heartbeat has been read
+// back: instances that start together see each other before one of them claims the whole.
+func (s *State) Held(now time.Time) map[id.Organisation]float64 {
+	if own := s.members.predecessor; own != nil && !s.isConfigured {
+		return own.Held
+	}
+	out := make(map[id.Organisation]float64, len(s.organisations))
+	for name, o := range s.organisations {
+		limit := s.current.Organisations[name]
+		if limit.Rate <= 0 {
+			continue
+		}
+		if o.claim = s.claim(now, name, o, s.config.Bounds.most(limit)); o.claim > 0 {
+			out[name] = o.claim
+		}
+	}
+	return out
+}
+
+// claim gives up what others want more, and returns what this instance holds, or what it should hold if that is free.
+func (s *State) claim(now time.Time, name id.Organisation, o *organisation, most id.Tokens) float64 {
+	target := s.members.target(s.config.Instance, name)
+	free, wanted := 1-o.part, 0.0
+	for other, e := range s.members.all {
+		if other != s.config.Instance {
+			free -= e.Held[name]
+			wanted += max(s.members.target(other, name)-e.Held[name], 0)
+		}
+	}
+	if missing := wanted - max(free, 0); target < o.part && missing > 0 {
+		o.part = max(target, o.part-missing)
+		s.setShare(o, most)
+	}
+	held := max(o.part, float64(o.share.Spent(now)/most))
+	if s.members.firstVersion == 0 && s.members.predecessor == nil {
+		return ceiling(held)
+	}
+	// The others grow at the same time: each claims its part of what is free.
+	own := max(target-held, 0)
+	if growth := min(own, free*own/max(own+wanted, leastGrowth)); growth > leastGrowth {
+		return ceiling(held + growth)
+	}
+	return ceiling(held)
+}
+
+func ceiling(part float64) float64 { return math.Ceil(part*heldDigits) / heldDigits }
+
+// confirm puts the claims in force that the store has accepted and that fit the parts of all others.
+func (s *State) confirm() {
+	own := s.members.all[s.config.Instance]
+	if own == nil || own.Started != s.members.started {
+		return
+	}
+	for name, o := range s.organisations {
+		limit := s.current.Organisations[name]
+		if limit.Rate <= 0 || o.claim <= o.part || own.Held[name] < o.claim {
+			continue
+		}
+		sum := 0.0
+		for _, e := range s.members.all {
+			sum += e.Held[name]
+		}
+		if sum <= 1+heldSlack {
+			o.part = o.claim
+			s.setShare(o, s.config.Bounds.most(limit))
+		}
+	}
+}
+
+// LacksParts reports whether this instance holds no part of some organisation's limit.
+func (s *State) LacksParts() bool {
+	for name, o := range s.organisations {
+		if o.part == 0 && s.current.Organisations[name].Rate > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) setShare(o *organisation, most id.Tokens) {
+	o.share.Set(s.now, id.Tokens(o.part)*most, s.config.Bounds.RateWindow)
+}
+
+// shareLimits divides the fleet-wide limits among the instances that are known.
+func (s *State) shareLimits() {
+	for name, o := range s.organisations {
+		if limit := s.current.Organisations[name]; limit.Rate > 0 {
+			s.restore(name, o)
+			s.setShare(o, s.config.Bounds.most(limit))
+		}
+	}
+	s.confirm()
+	for name, svc := range s.services {
+		svc.share(s, s.current.Services[name])
+	}
+}
+
+// restore takes over the part that a predecessor of this process holds, counts what it has spent, and goes on from its
+// demand.
+func (s *State) restore(name id.Organisation, o *organisation) {
+	own := s.members.predecessor
+	if o.isRestored || own == nil {
+		return
+	}
+	o.isRestored = true
+	o.part = own.Held[name]
+	o.claim = o.part
+	s.setShare(o, s.config.Bounds.most(s.current.Organisations[name]))
+	o.told = sum(own.Spent[name])
+	o.share.Restore(s.now, own.Spent[name], o.untold(o.told))
+	o.demand = demand{perSecond: own.Demand[name], at: s.now}
+}
+
+const (
+	// untoldPart is the part of what it holds that an instance spends after a heartbeat without another one.
+	untoldPart = 0.05
+	// untoldFactor is the part of the last window's spending that it spends without another heartbeat: what the usual
+	// rate spends between two, and a quarter more.
+	untoldFactor = 0.5
+)
+
+// untold returns what an instance may spend after a heartbeat that told of the spending before it writes another one.
+func (h *holding) untold(told id.Tokens) id.Tokens {
+	return max(min(untoldFactor*told+untoldPart*h.share.Part(), h.share.Part()-told), 0)
+}
+
+// Spent returns what this instance has spent of each limit, for its heartbeat, so that a successor does not spend it again.
+//
+// Until a configuration is known it is what the predecessor told.
+func (s *State) Spent(now time.Time) map[id.Organisation][]id.Tokens {
+	if own := s.members.predecessor; own != nil && !s.isConfigured {
+		return own.Spent
+	}
+	s.hasAsked = false
+	out := make(map[id.Organisation][]id.Tokens, len(s.organisations))
+	for name, o := range s.organisations {
+		spending := o.share.Spending(now)
+		for i, count := range spending {
+			spending[i] = id.Tokens(math.Ceil(float64(count)))
+		}
+		if len(spending) > 0 {
+			out[name] = spending
+		}
+		o.told = sum(spending)
+	}
+	return out
+}
+
+func sum(counts []id.Tokens) id.Tokens {
+	var total id.Tokens
+	for _, c := range counts {
+		total += c
+	}
+	return total
+}
+
+// tolerated is this instance's part of what the operator tolerates beyond an organisation's limit.
+func (s *State) tolerated(name id.Organisation) id.Tokens {
+	b := s.config.Bounds
+	limit := s.current.Organisations[name]
+	whole := b.RateExcess*(float64(limit.Rate)*b.RateWindow.Seconds()+float64(limit.Burst)) + b.RateSlack*(1-slackPart)
+	return id.Tokens(whole / float64(s.members.count()))
+}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -16,6 +16,10 @@
 	forgottenAfter = 5 * time.Minute
 )
 
+// leftAfter is the time without a heartbeat after which an instance that was leaving holds nothing any more: the longest
+// grace and window of the users' deployments, and as much again.
+const leftAfter = 22 * time.Second
+
 // members is what an instance knows about the fleet from the heartbeats in the store.
 type members struct {
 	self id.Instance
@@ -72,9 +76,8 @@
 	m.join(list)
 }
 
-// join lets a new instance hold parts of the limits once all that serve divide them with it: each has read its
-// heartbeat before writing its own. Until then the parts of the others add up to the whole. A successor takes over the
-// parts of its predecessor at once.
+// join lets a new instance serve once all that serve divide the limits with it: each has read its heartbeat before
+// writing its own. A successor takes over what its predecessor held at once.
 func (m *members) join(list []Member) {
 	for _, e := range list {
 		if e.Instance == m.self && e.Started == m.started && m.firstVersion == 0 {
@@ -95,7 +98,7 @@
 func (m *members) forget(list []Member) {
 	for name, e := range m.all {
 		isListed := slices.ContainsFunc(list, func(l Member) bool { return l.Instance == name })
-		if !isListed || e.silentFor > forgottenAfter {
+		if !isListed || e.silentFor > forgottenAfter || e.Leaving && e.silentFor > leftAfter {
 			delete(m.all, name)
 		}
 	}
@@ -126,19 +129,19 @@
 // has some room and a view that is behind does little harm.
 const evenPart = 0.4
 
-// part returns this instance's part of an organisation's limit, zero before it has joined. All instances compute the parts from the demand that
-// each of them has published, this one included, so the parts add up to one where all have read the same.
-func (m *members) part(o id.Organisation) float64 {
-	if !m.isJoined {
-		return 0
-	}
+// target returns the part of an organisation's limit that an instance should hold, from the demand that each has
+// published.
+func (m *members) target(name id.Instance, o id.Organisation) float64 {
 	even := 1 / float64(m.count())
 	sum := m.demand(o)
-	own := m.all[m.self]
-	if sum <= 0 || own == nil {
+	if sum <= 0 {
 		return even
 	}
-	return evenPart*even + (1-evenPart)*own.Demand[o]/sum
+	var own float64
+	if e := m.all[name]; e != nil {
+		own = e.Demand[o]
+	}
+	return evenPart*even + (1-evenPart)*own/sum
 }
 
 // demand returns what callers ask for of an organisation, per second at all instances.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -152,10 +152,13 @@
 		return time.Time{}, true
 	}
 	o.demand.add(s.now, 1)
-	if o.share.Take(s.now) {
-		return time.Time{}, true
+	if !o.share.Take(s.now) {
+		return o.share.NextAt(s.now), false
+	}
+	if !s.hasAsked && o.share.Spent(s.now) > o.told+o.untold(o.told)+s.tolerated(name) {
+		s.mustTell, s.hasAsked = true, true
 	}
-	return o.share.NextAt(s.now), false
+	return time.Time{}, true
 }
 
 // admit starts a request, lets it wait if it can be expected to start in time, or rejects it at once.
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -2,10 +2,8 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
-	"bluebellhold/allotment"
 	"bluebellhold/id"
 )
 
@@ -47,19 +45,19 @@
 	requests      map[id.Request]*request
 	suspects      suspects
 	isStopping    bool
-	counts        Counts
+	// mustTell is set when a heartbeat is to be written soon, and hasAsked until it has been.
+	mustTell, hasAsked bool
+	counts             Counts
 
 	out []Effect
 }
 
 // organisation is what an instance keeps for one organisation.
 type organisation struct {
-	share allotment.Share
+	holding
 	// demand is what callers have asked for, per second.
 	demand     demand
 	isRestored bool
-	// parts are the parts of the limit computed lately.
-	parts []pastPart
 }
 
 // Counts are totals since the start.
@@ -110,6 +108,10 @@
 	case StopRequested:
 		s.isStopping = true
 	}
+	if s.mustTell {
+		s.mustTell = false
+		s.emit(Tell{})
+	}
 	return s.out
 }
 
@@ -173,67 +175,6 @@
 	s.shareLimits()
 }
 
-// shareLimits divides the fleet-wide limits among the instances that are known. Before they have been read for the first
-// time there is nothing to divide, and no part that later ones must be held to.
-func (s *State) shareLimits() {
-	if s.members.readAt.IsZero() {
-		return
-	}
-	for name, o := range s.organisations {
-		if limit := s.current.Organisations[name]; limit.Rate > 0 {
-			most := s.config.Bounds.most(limit)
-			part := o.safePart(s.now, s.members.part(name), s.members.demand(name) > nearLimit*float64(limit.Rate),
-				s.config.Bounds.RateWindow)
-			o.share.Set(s.now, id.Tokens(part)*most, s.config.Bounds.RateWindow)
-			s.restore(name, o)
-		}
-	}
-	for name, svc := range s.services {
-		svc.share(s, s.current.Services[name])
-	}
-}
-
-// pastPart is a part of a limit and when it was computed.
-type pastPart struct {
-	at   time.Time
-	part float64
-}
-
-const (
-	// nearLimit is the part of its rate that an organisation may ask for before its parts are held to what is safe.
-	nearLimit = 0.7
-	// partsLag is more than the time between two heartbeats, by which the instances' views differ.
-	partsLag = 2500 * time.Millisecond
-)
-
-// safePart returns the part of a limit that this instance may spend. While an organisation is near its limit, that is the
-// least part of the last window: what all instances spend in a window is then at most the sum of the parts at any one
-// moment in it, however the parts move. Farther from the limit, a part that has just grown harms nobody.
-func (o *organisation) safePart(now time.Time, part float64, isNear bool, window time.Duration) float64 {
-	o.parts = slices.DeleteFunc(o.parts, func(p pastPart) bool { return now.Sub(p.at) > window+partsLag })
-	o.parts = append(o.parts, pastPart{now, part})
-	if !isNear {
-		return part
-	}
-	for _, p := range o.parts {
-		part = min(part, p.part)
-	}
-	return part
-}
-
-// restore counts what a predecessor of this process may have spent, as its last heartbeat tells, and goes on from its
-// demand, so that the parts do not follow the first few requests.
-func (s *State) restore(name id.Organisation, o *organisation) {
-	own := s.members.predecessor
-	if o.isRestored || own == nil {
-		return
-	}
-	o.isRestored = true
-	spent := id.Tokens(own.Demand[name] * s.config.Bounds.RateWindow.Seconds())
-	o.share.Assume(s.now, min(spent, o.share.Part()))
-	o.demand = demand{perSecond: own.Demand[name], at: s.now}
-}
-
 // list replaces the list of upstreams.
 func (s *State) list(upstreams []Upstream) {
 	s.isListed, s.listedAt = true, s.now
--- a/internal/ingress/follow.go
+++ b/internal/ingress/follow.go
@@ -23,8 +23,8 @@
 	mostUpstreamsEvery  = 3 * time.Second
 	// heartbeatEvery is the pace of this instance's heartbeat and of reading those of others.
 	heartbeatEvery = 2 * time.Second
-	// joinEvery is the pace of the heartbeats of an instance that waits for the others to see it; a heartbeat and a read
-	// take some 100 ms between regions.
+	// joinEvery is the least time between two heartbeats, and the pace of an instance that waits for the others to see it;
+	// a heartbeat and a read take some 100 ms between regions.
 	joinEvery = 400 * time.Millisecond
 	// failurePause is the pause after a failed read.
 	failurePause = 300 * time.Millisecond
@@ -51,8 +51,6 @@
 	returnedAt  time.Time
 	addresses   map[string]entry.Member
 	hasRead     bool
-	// seen is the version of the heartbeats that were read last; the instance's lock guards it.
-	seen uint64
 }
 
 func newFollower(i *Instance) *follower {
@@ -70,9 +68,9 @@
 
 func (f *follower) start(ctx context.Context) {
 	atOnce := func(started time.Time) time.Time { return started }
-	f.repeat(ctx, "operator", atOnce, f.readOperator)
-	f.repeat(ctx, "upstreams", f.nextUpstreams, f.readUpstreams)
-	f.repeat(ctx, "members", f.nextBeat, f.beat)
+	f.repeat(ctx, "operator", nil, atOnce, f.readOperator)
+	f.repeat(ctx, "upstreams", nil, f.nextUpstreams, f.readUpstreams)
+	f.repeat(ctx, "members", f.beatSoon, f.nextBeat, f.beat)
 }
 
 // nextUpstreams returns when the upstreams' rows are read next after a read that began at the given time: in time for
@@ -88,18 +86,24 @@
 	return next
 }
 
+func (f *follower) lacksParts() bool {
+	f.m.Lock()
+	defer f.m.Unlock()
+	return f.state.LacksParts()
+}
+
 // nextBeat returns when the next heartbeat is due; a new instance waits for the others to see it.
 func (f *follower) nextBeat(started time.Time) time.Time {
 	f.m.Lock()
 	defer f.m.Unlock()
-	if !f.state.HasJoined() {
+	if !f.state.HasJoined() || f.state.LacksParts() {
 		return started.Add(joinEvery)
 	}
 	return started.Add(heartbeatEvery)
 }
 
-// repeat calls read when it is due, and soon after a failure. It logs when the store is lost and regained.
-func (f *follower) repeat(ctx context.Context, part string, next func(started time.Time) time.Time, read func(context.Context) error) {
+// repeat calls read when it is due, when soon says so, and a little after a failure. It logs when the store is lost and regained.
+func (f *follower) repeat(ctx context.Context, part string, soon <-chan struct{}, next func(started time.Time) time.Time, read func(context.Context) error) {
 	f.work.Go(func() {
 		var lostAt time.Time
 		for ctx.Err() == nil {
@@ -121,6 +125,8 @@
 			}
 			select {
 			case <-time.After(max(pause, 0)):
+			case <-soon:
+				time.Sleep(time.Until(started.Add(joinEvery)))
 			case <-ctx.Done():
 			}
 		}
@@ -155,6 +161,9 @@
 		case Document:
 			f.Post(entry.Configured(row))
 			f.log.Info("operator: configuration", "version", row.Configuration.Version)
+			if f.lacksParts() {
+				f.hurry()
+			}
 		case Evacuation:
 			f.evacuations[change.Name] = row.DataCentre
 			isMoved = true
@@ -289,9 +298,6 @@
 	for _, m := range f.addresses {
 		list = append(list, m)
 	}
-	f.m.Lock()
-	f.seen = f.members.Version()
-	f.m.Unlock()
 	f.Post(entry.MembersListed{Members: list})
 	return nil
 }
@@ -312,6 +318,10 @@
 	Work map[id.Service]float64 `json:"work,omitempty"`
 	// Kept is the part of the objects that stay in the region by service.
 	Kept map[id.Service]float64 `json:"kept,omitempty"`
+	// Held is the part of each organisation's limit that the instance holds or claims.
+	Held map[id.Organisation]float64 `json:"held,omitempty"`
+	// Spent is what has been spent of each limit within the last window, in equal spans, the newest last.
+	Spent map[id.Organisation][]id.Tokens `json:"spent,omitempty"`
 	// Suspects are requests that have crashed upstreams.
 	Suspects []suspect `json:"suspects,omitempty"`
 }
@@ -328,7 +338,7 @@
 	f.m.Lock()
 	now := time.Now()
 	demand, work, reports := f.state.Demand(now), f.state.Work(now), f.state.Suspects(now)
-	kept, seen := f.state.Kept(), f.seen
+	kept, held, spent := f.state.Kept(), f.state.Held(now), f.state.Spent(now)
 	f.m.Unlock()
 	var suspects []suspect
 	for _, r := range reports {
@@ -336,12 +346,14 @@
 	}
 	value, err := json.Marshal(member{
 		Address: f.config.Callers, Region: f.config.Region, DataCentre: f.config.DataCentre, Leaving: isLeaving,
-		Seen: seen, Started: f.started, Demand: demand, Work: work, Kept: kept, Suspects: suspects,
+		Seen: f.members.Version(), Started: f.started, Demand: demand, Work: work, Kept: kept, Held: held,
+		Spent: spent, Suspects: suspects,
 	})
 	if err != nil {
 		return err
 	}
-	return f.config.Feed.Put(ctx, f.config.Tables.Members, string(f.config.Instance), value)
+	name := string(f.config.Instance)
+	return f.config.Feed.Put(ctx, f.config.Tables.Members, name, value, f.members.RowVersion(name))
 }
 
 func (f *follower) takeMember(change store.Change) {
@@ -363,15 +375,6 @@
 	f.addresses[change.Name] = entry.Member{
 		Instance: id.Instance(change.Name), Region: m.Region, DataCentre: m.DataCentre, Address: m.Address,
 		Leaving: m.Leaving, Version: change.Version, Seen: m.Seen, Started: m.Started, Demand: m.Demand, Work: m.Work,
-		Kept: m.Kept, Suspects: suspects,
-	}
-}
-
-// leave tells the other instances at once that this one is stopping.
-func (f *follower) leave() {
-	ctx, cancel := context.WithTimeout(context.Background(), heartbeatEvery)
-	defer cancel()
-	if err := f.writeMember(ctx, true); err != nil {
-		f.log.Warn("members: the notice of leaving was not written", "error", err)
+		Kept: m.Kept, Held: m.Held, Spent: m.Spent, Suspects: suspects,
 	}
 }
--- a/internal/ingress/instance.go
+++ b/internal/ingress/instance.go
@@ -48,9 +48,11 @@
 	requests   atomic.Uint64
 	bodies     atomic.Int64
 	isStopping atomic.Bool
-	listeners  []net.Listener
-	servers    []*http.Server
-	callers    *http.Server
+	// beatSoon asks for a heartbeat soon.
+	beatSoon  chan struct{}
+	listeners []net.Listener
+	servers   []*http.Server
+	callers   *http.Server
 	// open are the callers' connections.
 	open *connections
 	work sync.WaitGroup
@@ -76,6 +78,7 @@
 		exchanges: make(map[id.Request]*exchange),
 		pool:      newPool(),
 		open:      newConnections(),
+		beatSoon:  make(chan struct{}, 1),
 	}
 	i.timer = time.AfterFunc(time.Hour, i.tick)
 	return i, i.listen()
@@ -136,7 +139,7 @@
 	i.log.Info("instance: started", "instance", i.config.Instance, "callers", i.config.Callers)
 	<-ctx.Done()
 	i.log.Info("instance: stopping")
-	i.stop(f)
+	i.stop()
 	stopFollowing()
 	i.close()
 	i.work.Wait()
@@ -179,11 +182,11 @@
 
 // stop withdraws the instance from look-ups and readiness, keeps serving while callers still hold its address, and
 // then waits for the running requests.
-func (i *Instance) stop(f *follower) {
+func (i *Instance) stop() {
 	end := time.Now().Add(time.Duration(finishPart * float64(i.config.Bounds.Grace)))
 	i.isStopping.Store(true)
 	i.Post(entry.StopRequested{})
-	f.leave()
+	i.hurry()
 	time.Sleep(time.Duration(lingerPart * float64(i.config.Bounds.Grace)))
 	// Not http.Server.Shutdown, which would close connections with requests that have arrived.
 	if err := i.listeners[0].Close(); err != nil {
@@ -225,6 +228,10 @@
 
 // handOut gives an effect to the exchange that it belongs to; it is called with m held.
 func (i *Instance) handOut(effect entry.Effect) {
+	if _, ok := effect.(entry.Tell); ok {
+		i.hurry()
+		return
+	}
 	e, ok := effect.(entry.RequestEffect)
 	if !ok {
 		return
@@ -240,6 +247,15 @@
 	x.effects <- e
 }
 
+// hurry lets the next heartbeat be written soon.
+func (i *Instance) hurry() {
+	select {
+	case i.beatSoon <- struct{}{}:
+	default:
+		// One is asked for already.
+	}
+}
+
 // schedule sets the timer for the state's next tick; it is called with m held.
 func (i *Instance) schedule(now time.Time) {
 	at := i.state.Wake(now)
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -57,9 +57,11 @@
 	Window Duration `json:"window"`
 }
 
-// Rates says how the organisations' limits are judged.
+// Rates says how the organisations' limits are judged: the window, and the part and the number of requests beyond them that
+// are tolerated.
 type Rates struct {
 	Window Duration `json:"window"`
+	Excess float64  `json:"excess"`
 	Slack  float64  `json:"slack"`
 }
 
@@ -128,7 +130,7 @@
 	}
 	for path, n := range map[string]float64{
 		"bounds.retries.ratio": b.Retries.Ratio, "bounds.retries.extra": b.Retries.Extra,
-		"bounds.rates.slack": b.Rates.Slack,
+		"bounds.rates.slack": b.Rates.Slack, "bounds.rates.excess": b.Rates.Excess,
 		"bounds.cold.excess": b.Cold.Excess, "bounds.cold.slack": b.Cold.Slack,
 	} {
 		if n < 0 {
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -130,6 +130,13 @@
 	coldWindow = time.Second
 )
 
+// AssumeCold counts the parts of all cold upstreams' rates as spent by a predecessor within the last window.
+func (c *Chooser) AssumeCold(now time.Time) {
+	for _, u := range c.ordered {
+		u.cold.Assume(now, u.cold.Part())
+	}
+}
+
 // shareCold divides the cold window of each upstream among as many instances as get a useful part.
 func (c *Chooser) shareCold(now time.Time) {
 	holders := min(max(int(c.cold/leastColdPart), 1), max(len(c.members), 1))
--- a/store/feed.go
+++ b/store/feed.go
@@ -28,8 +28,21 @@
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error)
 	// Snapshot returns all rows of a table.
 	Snapshot(ctx context.Context, table string) (Changes, error)
-	// Put writes one row whatever its version; after an error it is unknown whether it was written.
-	Put(ctx context.Context, table, name string, value []byte) error
+	// Put replaces the version of one row, zero if there is none. It returns a ConflictError if the row has another
+	// version; after any other error it is unknown whether it was or will be written.
+	Put(ctx context.Context, table, name string, value []byte, version uint64) error
+}
+
+// ConflictError reports that a row has another version than the one to be replaced.
+type ConflictError struct {
+	Table, Name string
+	// Version is the one that was expected.
+	Version uint64
+}
+
+// Error names the row.
+func (e *ConflictError) Error() string {
+	return "store: row " + e.Name + " of " + e.Table + " has another version"
 }
 
 // HistoryError reports that the changes since a version are no longer known.
--- a/store/mirror.go
+++ b/store/mirror.go
@@ -81,6 +81,9 @@
 // Version returns the version of the store up to which the copy holds all changes.
 func (m *Mirror) Version() uint64 { return m.version }
 
+// RowVersion returns the version of a row in the copy, zero if there is none.
+func (m *Mirror) RowVersion(name string) uint64 { return m.rows[name].Version }
+
 // Rows returns the copy by name; it must not be changed.
 func (m *Mirror) Rows() map[string]Change { return m.rows }
 
