Make room in a region for the requests that may run nowhere else

Change: heartbeats tell the work that is bound to each region; it counts before the objects that a region keeps.

--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -92,15 +92,36 @@
 	return out
 }
 
+// Bound returns the slots that the requests of this instance's callers that are bound to regions would keep busy there, for
+// its heartbeat.
+func (s *State) Bound(now time.Time) map[id.Service]map[id.Region]float64 {
+	out := make(map[id.Service]map[id.Region]float64)
+	for name, svc := range s.services {
+		for region, work := range svc.bound {
+			work.decay(now)
+			if work.perSecond < leastDemand {
+				continue
+			}
+			if out[name] == nil {
+				out[name] = make(map[id.Region]float64)
+			}
+			out[name][region] = math.Round(work.perSecond*demandDigits) / demandDigits
+		}
+	}
+	return out
+}
+
 // fullAt is the part of a region's slots that its own demand may fill; above it, waiting grows faster than the way to
 // another region.
 const fullAt = 0.5
 
-// keepObjects lets each service keep as many of the region's objects as the region has slots for.
+// keepObjects lets each service keep as many of the region's objects as the region has slots for, besides the requests
+// of all regions that may run nowhere else.
 func (s *State) keepObjects() {
 	for name, svc := range s.services {
-		var work float64
+		var work, bound float64
 		for _, m := range s.members.all {
+			bound += m.Bound[name][s.config.Region]
 			if m.Region == s.config.Region {
 				work += m.Work[name]
 			}
@@ -109,7 +130,7 @@
 			continue
 		}
 		room := fullAt * float64(svc.chooser.Slots(s.now, s.config.Region))
-		svc.chooser.Keep(min(room/work, 1))
+		svc.chooser.Keep(min(max(room-bound, 0)/work, 1))
 	}
 }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -366,3 +366,40 @@
 		require.False(t, isRefusal)
 	}
 }
+
+// Guards against a small region that keeps its own objects although requests of all regions that may run nowhere else need
+// its slots, as puget on ccbw-hold trouble-1: a fifth of Cascadia's requests are bound there, and those of two other regions waited
+// behind objects that could have run elsewhere.
+func TestARegionMakesRoomForRequestsThatAreBoundToIt(t *testing.T) {
+	kept := func(bound float64) float64 {
+		w := newWorld(t)
+		for n := range 40 {
+			w.now = w.now.Add(2 * time.Second)
+			w.reduce(entry.MembersListed{Members: []entry.Member{
+				{Instance: "osrednja-1", Region: "osrednja", Version: uint64(10 + n), Started: 1, Work: map[id.Service]float64{"pregled": 5}},
+				{
+					Instance: "koper-1", Region: "koper", Version: uint64(10 + n), Started: 2,
+					Bound: map[id.Service]map[id.Region]float64{"pregled": {"osrednja": bound}},
+				},
+			}})
+		}
+		return w.state.Kept()["pregled"]
+	}
+	require.InDelta(t, 0.8, kept(0), 0.06, "half of eight slots for work of five")
+	require.InDelta(t, 0.4, kept(2), 0.06)
+	require.InDelta(t, 0, kept(6), 0.06)
+}
+
+// Guards against bound work that is counted as work that could move.
+func TestBoundRequestsCountForTheirRegion(t *testing.T) {
+	w := newWorld(t)
+	for range 20 {
+		w.answer(w.dispatched("/home/1"))
+	}
+	require.Empty(t, w.state.Work(w.now))
+	require.Contains(t, w.state.Bound(w.now)["pregled"], id.Region("koper"))
+	for range 20 {
+		w.answer(w.dispatched("/look/1"))
+	}
+	require.Contains(t, w.state.Work(w.now), id.Service("pregled"))
+}
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -56,6 +56,8 @@
 	Demand map[id.Organisation]float64
 	// Work is the slots that the requests of the instance's callers would keep busy, per service.
 	Work map[id.Service]float64
+	// Bound is the slots that requests bound to a region would keep busy there, per service.
+	Bound map[id.Service]map[id.Region]float64
 	// Kept is the part of the objects that stay in the instance's region, per service.
 	Kept map[id.Service]float64
 	// Held is the part of each organisation's limit that the instance holds or claims.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -96,7 +96,7 @@
 		r.rank = admission.Rank{Organisation: math.MinInt}
 	}
 	r.service.budget.First(s.now)
-	r.service.work.add(s.now, r.service.chooser.Work(r.want).Seconds())
+	r.service.addWork(s.now, s.config.Region, r.want)
 	s.admit(r)
 }
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -23,8 +23,9 @@
 	// arrivals and routes measure the requests of all routes and of each.
 	arrivals demand
 	routes   map[id.Route]*demand
-	// work is the slots that arriving requests would keep busy.
-	work demand
+	// work is the slots that arriving requests would keep busy, but for those that are bound to regions.
+	work  demand
+	bound map[id.Region]*demand
 	// isRestored is set once what a predecessor knew has been taken over.
 	isRestored bool
 }
@@ -57,6 +58,7 @@
 	svc := &service{
 		id:     name,
 		routes: make(map[id.Route]*demand),
+		bound:  make(map[id.Region]*demand),
 		chooser: placement.New(placement.Config{
 			Region: s.config.Region, DataCentre: s.config.DataCentre,
 		}),
@@ -77,6 +79,25 @@
 	}
 }
 
+// addWork counts the work of a request, for the regions that it may run in if those are few.
+func (v *service) addWork(now time.Time, own id.Region, w placement.Want) {
+	work := v.chooser.Work(w).Seconds()
+	if len(w.Regions) == 0 {
+		v.work.add(now, work)
+		return
+	}
+	regions := w.Regions
+	if slices.Contains(regions, own) {
+		regions = []id.Region{own}
+	}
+	for _, region := range regions {
+		if v.bound[region] == nil {
+			v.bound[region] = &demand{}
+		}
+		v.bound[region].add(now, work/float64(len(regions)))
+	}
+}
+
 // rarePart is the part of a service's requests below which a route is rare. Its requests go ahead of all others: they
 // take little room, and behind a full line of more urgent ones they would never be served.
 const rarePart = 0.02
--- a/internal/ingress/follow.go
+++ b/internal/ingress/follow.go
@@ -316,6 +316,8 @@
 	Demand map[id.Organisation]float64 `json:"demand,omitempty"`
 	// Work is in slots by service.
 	Work map[id.Service]float64 `json:"work,omitempty"`
+	// Bound is in slots by service and by the region that requests are bound to.
+	Bound map[id.Service]map[id.Region]float64 `json:"bound,omitempty"`
 	// Kept is the part of the objects that stay in the region by service.
 	Kept map[id.Service]float64 `json:"kept,omitempty"`
 	// Held is the part of each organisation's limit that the instance holds or claims.
@@ -338,6 +340,7 @@
 	f.m.Lock()
 	now := time.Now()
 	demand, work, reports := f.state.Demand(now), f.state.Work(now), f.state.Suspects(now)
+	bound := f.state.Bound(now)
 	kept, held, spent := f.state.Kept(), f.state.Held(now), f.state.Spent(now)
 	f.m.Unlock()
 	var suspects []suspect
@@ -346,8 +349,8 @@
 	}
 	value, err := json.Marshal(member{
 		Address: f.config.Callers, Region: f.config.Region, DataCentre: f.config.DataCentre, Leaving: isLeaving,
-		Seen: f.members.Version(), Started: f.started, Demand: demand, Work: work, Kept: kept, Held: held,
-		Spent: spent, Suspects: suspects,
+		Seen: f.members.Version(), Started: f.started, Demand: demand, Work: work, Bound: bound,
+		Kept: kept, Held: held, Spent: spent, Suspects: suspects,
 	})
 	if err != nil {
 		return err
@@ -375,6 +378,6 @@
 	f.addresses[change.Name] = entry.Member{
 		Instance: id.Instance(change.Name), Region: m.Region, DataCentre: m.DataCentre, Address: m.Address,
 		Leaving: m.Leaving, Version: change.Version, Seen: m.Seen, Started: m.Started, Demand: m.Demand, Work: m.Work,
-		Kept: m.Kept, Held: m.Held, Spent: m.Spent, Suspects: suspects,
+		Bound: m.Bound, Kept: m.Kept, Held: m.Held, Spent: m.Spent, Suspects: suspects,
 	}
 }
