Read the heartbeats back after each of this instance's own

Cause: an instance that told others it had seen a newcomer did not read its row's new version, so its next heartbeat conflicted and the log said that the store was lost. A conflict is now followed by a read and one more heartbeat.

--- a/internal/ingress/follow.go
+++ b/internal/ingress/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"bluebellhold/id"
@@ -274,14 +275,21 @@
 		f.hasRead = true
 	}
 	known := len(f.addresses)
+	err := f.tell(ctx)
+	// A new instance waits until the others say that they have seen it. A row with another version was written late by a
+	// call whose answer was lost.
+	if errors.As(err, new(*store.ConflictError)) || err == nil && len(f.addresses) > known {
+		return f.tell(ctx)
+	}
+	return err
+}
+
+// tell writes this instance's heartbeat and reads those of all, whether the write has failed or not.
+func (f *follower) tell(ctx context.Context) error {
 	err := f.writeMember(ctx, f.isStopping.Load())
 	if failed := f.readMembers(ctx); failed != nil {
 		return failed
 	}
-	if err == nil && len(f.addresses) > known {
-		// A new instance waits until the others say that they have seen it.
-		return f.writeMember(ctx, f.isStopping.Load())
-	}
 	return err
 }
 
