--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -309,8 +309,9 @@
 	busy := float64(u.inFlight()) + u.othersNow(now)
 	hasRoom := busy < slots || u.mayProbe(now)
 	wait := time.Duration(max(busy+float64(u.waiting)-slots+1, 0) / slots * float64(cl.home))
-	if begun, ok := u.warming[w.key()]; ok && f != repeated {
-		// The first request for the object makes it warm; one that waits for that needs a fraction of the work.
+	if begun, ok := u.warming[w.key()]; ok && f != repeated && busy >= crowdedAbove*slots {
+		// The first request for the object makes it warm; one that waits for that needs a fraction of the work. While there
+		// are slots to spare, a second cold run delays nobody.
 		hasRoom = false
 		expected = cl.repeat
 		wait = max(wait, cl.cold-now.Sub(begun), 0)
