Keep the connections to an upstream within what it accepts

The number of connections that an upstream accepts from all instances was decoded and not used. Each instance now has at most its even part of them in use, and so keeps no more.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -72,6 +72,9 @@
 func (v *service) share(s *State, config Service) {
 	b := s.config.Bounds
 	v.chooser.Share(s.now, s.config.Instance, s.members.names(), b.mostCold(config))
+	if config.Connections > 0 {
+		v.chooser.Limit(max(config.Connections/s.members.count(), 1))
+	}
 	floor := int(b.RetryExtra * margin / float64(s.members.count()))
 	if v.budget == nil || floor != v.floor {
 		v.floor = floor
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -44,6 +44,8 @@
 	closed  map[id.DataCentre]bool
 	// cold is what all members together may send to a cold upstream within a second.
 	cold    id.Tokens
+	// sendsMost bounds the requests that this instance has at one upstream; zero is no bound.
+	sendsMost int
 	members []id.Instance
 	self    id.Instance
 	// places holds where objects are settled, and buffer the candidates of the current choice.
@@ -123,6 +125,9 @@
 	c.shareCold(now)
 }
 
+// Limit bounds the requests that are sent to one upstream at a time, and with them the connections to it; zero is no bound.
+func (c *Chooser) Limit(sends int) { c.sendsMost = sends }
+
 const (
 	// leastColdPart is the smallest part of a cold upstream's rate that is worth holding.
 	leastColdPart = 2
@@ -307,7 +312,7 @@
 	expected, f := u.expect(now, w, cl)
 	slots := max(float64(u.Slots), 1)
 	busy := float64(u.inFlight()) + u.othersNow(now)
-	hasRoom := busy < slots || u.mayProbe(now)
+	hasRoom := (busy < slots || u.mayProbe(now)) && (c.sendsMost == 0 || u.inFlight() < c.sendsMost)
 	wait := time.Duration(max(busy+float64(u.waiting)-slots+1, 0) / slots * float64(cl.home))
 	if begun, ok := u.warming[w.key()]; ok && f != repeated && busy >= crowdedAbove*slots {
 		// The first request for the object makes it warm; one that waits for that needs a fraction of the work. While there
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -234,3 +234,20 @@
 	second, _ := c.Choose(start, album)
 	require.False(t, second.HasRoom, "the first one makes it warm")
 }
+
+// Guards against more connections to an upstream than it accepts from all instances together: it resets those beyond.
+func TestSendsToOneUpstreamAreLimited(t *testing.T) {
+	c := newChooser("osrednja", fleet(1, "osrednja"))
+	c.Limit(2)
+	for i := range 2 {
+		w := want(fmt.Sprint(i))
+		choice, _ := c.Choose(start, w)
+		require.True(t, choice.HasRoom)
+		c.Start(start, choice, w)
+	}
+	choice, _ := c.Choose(start, want("2"))
+	require.False(t, choice.HasRoom)
+	c.Limit(0)
+	choice, _ = c.Choose(start, want("2"))
+	require.True(t, choice.HasRoom)
+}
