--- a/forward_test.go
+++ b/forward_test.go
@@ -17,6 +17,7 @@
 
 	"bluebellhold"
 	"bluebellhold/id"
+	"bluebellhold/internal/loopback"
 	"bluebellhold/store"
 )
 
@@ -117,10 +118,9 @@
 }
 
 func freeAddress(t testing.TB) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Address()
 	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // startSingle runs one instance over an in-memory platform, with a service of one upstream, and returns the address
--- a/internal/entry/quota_test.go
+++ b/internal/entry/quota_test.go
@@ -157,3 +157,60 @@
 	}})
 	w.answer(w.dispatched("/look/1"))
 }
+
+// Guards against spending that a successor of a killed process would not know of: a jump asks for a heartbeat once, and
+// usual spending does not.
+func TestAJumpOfTheSpendingIsToldSoon(t *testing.T) {
+	w := newWorld(t)
+	c := configuration()
+	c.Version = 2
+	c.Organisations["school"] = entry.Organisation{Rate: 100, Burst: 100}
+	w.reduce(entry.Configured{Configuration: c})
+	w.reduce(entry.MembersListed{Members: []entry.Member{
+		{Instance: "osrednja-1", Version: 2, Started: 1, Held: w.state.Held(w.now)},
+	}})
+	tells := func(requests int) int {
+		count := 0
+		for range requests {
+			_, effects := w.arrive("/look/1")
+			for _, e := range effects {
+				switch e := e.(type) {
+				case entry.Dispatch:
+					w.end(e, entry.Answered{Status: 200, Elapsed: time.Millisecond})
+				case entry.Tell:
+					count++
+				}
+			}
+		}
+		return count
+	}
+	require.Zero(t, tells(20), "what is tolerated beyond the limit covers these")
+	require.Equal(t, 1, tells(200), "asked once until the heartbeat is written")
+	w.state.Spent(w.now)
+	require.Zero(t, tells(100))
+}
+
+// Guards against two instances that both grow into the same free part of a limit.
+func TestClaimsThatDoNotFitTogetherAreNotUsed(t *testing.T) {
+	w := newWorld(t)
+	c := configuration()
+	c.Version = 2
+	c.Organisations["school"] = entry.Organisation{Rate: 10, Burst: 10}
+	w.reduce(entry.Configured{Configuration: c})
+	claim := w.state.Held(w.now)
+	require.Equal(t, map[id.Organisation]float64{"school": 1}, claim)
+	list := func(other float64) {
+		w.next++
+		w.reduce(entry.MembersListed{Members: []entry.Member{
+			{Instance: "osrednja-1", Version: 10 + uint64(w.next), Started: 1, Held: claim},
+			{Instance: "osrednja-2", Version: 2, Held: map[id.Organisation]float64{"school": other}},
+		}})
+	}
+	list(0.5)
+	_, effects := w.arrive("/look/1")
+	require.Equal(t, entry.CodeRate, refusal(t, effects).Code)
+	claim = w.state.Held(w.now)
+	require.Equal(t, map[id.Organisation]float64{"school": 0.5}, claim, "what the other one leaves")
+	list(0.5)
+	w.answer(w.dispatched("/look/1"))
+}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"bluebellhold/store"
 )
 
 // Guards against a key that reaches an upstream, a tenant that the caller chose, a deadline that is passed on unchanged
@@ -305,3 +307,16 @@
 	status, _ = w.get("GET", "/look/1")
 	require.Equal(t, http.StatusServiceUnavailable, status)
 }
+
+// Guards against an instance whose heartbeats fail for good once its row has been written by a call that it took for lost.
+func TestAHeartbeatThatConflictsIsWrittenAgain(t *testing.T) {
+	w := newWorld(t, serve(func(r *http.Request) string { return good(r, "ok") }))
+	own := func() store.Change { return w.feed.since("instances", 0).Rows[0] }
+	late := own().Value
+	for range 2 {
+		w.feed.put("instances", "osrednja-1", late)
+		written := own().Version
+		require.Eventually(t, func() bool { return own().Version > written }, 5*time.Second, 10*time.Millisecond)
+	}
+	require.NotContains(t, w.log.String(), "store: lost")
+}
--- a/internal/ingress/world_test.go
+++ b/internal/ingress/world_test.go
@@ -19,6 +19,7 @@
 	"bluebellhold/id"
 	"bluebellhold/internal/entry"
 	"bluebellhold/internal/ingress"
+	"bluebellhold/internal/loopback"
 	"bluebellhold/platform"
 	"bluebellhold/store"
 )
@@ -147,10 +148,9 @@
 }
 
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Address()
 	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 // newWorld starts an instance whose upstreams are the given handlers of raw connections.
--- /dev/null
+++ b/internal/loopback/doc.go
@@ -0,0 +1,2 @@
+// Package loopback picks addresses for processes that are started for a test.
+package loopback
--- /dev/null
+++ b/internal/loopback/loopback.go
@@ -0,0 +1,47 @@
+package loopback
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"sync/atomic"
+)
+
+// The ports lie below the range that the kernel picks local ports from, so a port stays free until it is bound again.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+// tried counts over the whole process, so that two callers do not get the same port.
+var tried atomic.Int64
+
+// Address returns an address of 127.0.0.1 whose port is free.
+//
+// It starts at a port that depends on the process id, so that two processes rarely try the same ports.
+func Address() (string, error) {
+	var last error
+	for range lastPort - firstPort {
+		n := (int64(os.Getpid())*61 + tried.Add(1)) % (lastPort - firstPort)
+		address := net.JoinHostPort("127.0.0.1", strconv.FormatInt(firstPort+n, 10))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			last = err
+			continue
+		}
+		return address, listener.Close()
+	}
+	return "", &PortError{Cause: last}
+}
+
+// PortError reports that no port is free.
+type PortError struct {
+	// Cause is the failure of the last port that was tried.
+	Cause error
+}
+
+// Error shows the cause.
+func (e *PortError) Error() string { return "loopback: no port is free: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *PortError) Unwrap() error { return e.Cause }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -3,12 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
-	"sync/atomic"
 
 	"bluebellhold/id"
+	"bluebellhold/internal/loopback"
 	"bluebellhold/internal/settings"
 	"bluebellhold/store"
 )
@@ -144,38 +143,17 @@
 	return nil
 }
 
-// The ports lie below the range that the kernel picks local ports from, so a port stays free until it is bound again.
-const (
-	firstPort = 20000
-	lastPort  = 32000
-)
-
-// portsTried counts over all fleets of the process, so that fleets that run at the same time do not share a port.
-var portsTried atomic.Int64
-
 // ports picks free ports and keeps the first failure.
 type ports struct {
 	err error
 }
 
-// next starts at a port that depends on the process id, so that two processes rarely try the same ports.
 func (p *ports) next() string {
-	var last error
-	for range lastPort - firstPort {
-		n := int64(os.Getpid())*61 + portsTried.Add(1)
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+n%(lastPort-firstPort))
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			last = err
-			continue
-		}
-		_ = listener.Close()
-		return address
-	}
-	if p.err == nil {
-		p.err = &FleetError{Cause: last}
+	address, err := loopback.Address()
+	if err != nil && p.err == nil {
+		p.err = &FleetError{Cause: err}
 	}
-	return ""
+	return address
 }
 
 // FleetError reports settings that could not be written or a port that could not be found.
