--- a/forward_test.go
+++ b/forward_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -43,11 +43,11 @@
 	paths   map[id.Region]time.Duration
 	closed  map[id.DataCentre]bool
 	// cold is what all members together may send to a cold upstream within a second.
-	cold    id.Tokens
+	cold id.Tokens
 	// sendsMost bounds the requests that this instance has at one upstream; zero is no bound.
 	sendsMost int
-	members []id.Instance
-	self    id.Instance
+	members   []id.Instance
+	self      id.Instance
 	// places holds where objects are settled, and buffer the candidates of the current choice.
 	places map[string]*place
 	buffer []candidate
