Write heartbeats early only for jumps beyond random variation

Change: a jump must stand out by three standard deviations, at most two hundredths of the limit, where that is more.

--- a/internal/entry/holding.go
+++ b/internal/entry/holding.go
@@ -64,7 +64,7 @@
 	}
 	if missing := wanted - max(free, 0); target < o.part && missing > 0 {
 		o.part = max(target, o.part-missing)
-		s.setShare(o, most)
+		s.setShare(name, o)
 	}
 	held := max(o.part, float64(o.share.Spent(now)/most))
 	if s.members.firstVersion == 0 && s.members.predecessor == nil {
@@ -97,7 +97,7 @@
 		}
 		if sum <= 1+heldSlack {
 			o.part = o.claim
-			s.setShare(o, s.config.Bounds.most(limit))
+			s.setShare(name, o)
 		}
 	}
 }
@@ -112,7 +112,8 @@
 	return false
 }
 
-func (s *State) setShare(o *organisation, most id.Tokens) {
+func (s *State) setShare(name id.Organisation, o *organisation) {
+	most := s.config.Bounds.most(s.current.Organisations[name])
 	o.share.Set(s.now, id.Tokens(o.part)*most, s.config.Bounds.RateWindow)
 }
 
@@ -121,7 +122,7 @@
 	for name, o := range s.organisations {
 		if limit := s.current.Organisations[name]; limit.Rate > 0 {
 			s.restore(name, o)
-			s.setShare(o, s.config.Bounds.most(limit))
+			s.setShare(name, o)
 		}
 	}
 	s.confirm()
@@ -140,7 +141,7 @@
 	o.isRestored = true
 	o.part = own.Held[name]
 	o.claim = o.part
-	s.setShare(o, s.config.Bounds.most(s.current.Organisations[name]))
+	s.setShare(name, o)
 	o.told = sum(own.Spent[name])
 	o.share.Restore(s.now, own.Spent[name], o.untold(o.told))
 	o.demand = demand{perSecond: own.Demand[name], at: s.now}
@@ -189,10 +190,21 @@
 	return total
 }
 
-// tolerated is this instance's part of what the operator tolerates beyond an organisation's limit.
-func (s *State) tolerated(name id.Organisation) id.Tokens {
+const (
+	// chance is how many standard deviations of random arrivals a jump must stand out by; at three, one heartbeat in some
+	// hundred is written early without one.
+	chance = 3
+	// variesMost bounds that to a part of the limit, so that jumps at a few instances stay within what is tolerated.
+	variesMost = 0.02
+)
+
+// unasked returns what an instance spends beyond what a successor assumes before it asks for a heartbeat: its part of what
+// the operator tolerates beyond the limit, and what random arrivals vary by, which at many instances is more.
+func (s *State) unasked(name id.Organisation, o *organisation) id.Tokens {
 	b := s.config.Bounds
 	limit := s.current.Organisations[name]
 	whole := b.RateExcess*(float64(limit.Rate)*b.RateWindow.Seconds()+float64(limit.Burst)) + b.RateSlack*(1-slackPart)
-	return id.Tokens(whole / float64(s.members.count()))
+	tolerated := whole / float64(s.members.count())
+	varies := min(chance*math.Sqrt(float64(o.told)+1), variesMost*float64(b.most(limit)))
+	return id.Tokens(max(tolerated, varies))
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -155,7 +155,7 @@
 	if !o.share.Take(s.now) {
 		return o.share.NextAt(s.now), false
 	}
-	if !s.hasAsked && o.share.Spent(s.now) > o.told+o.untold(o.told)+s.tolerated(name) {
+	if !s.hasAsked && o.share.Spent(s.now) > o.told+o.untold(o.told)+s.unasked(name, o) {
 		s.mustTell, s.hasAsked = true, true
 	}
 	return time.Time{}, true
