Let a successor use no claim that did not fit

Cause, found when reading: the heartbeat of a killed process may hold a claim that did not fit beside the others' parts and was never used; its successor used it. The sum of the demand is now computed once for each organisation, not once for each pair of instances.

--- a/internal/entry/holding.go
+++ b/internal/entry/holding.go
@@ -54,12 +54,13 @@
 
 // claim gives up what others want more, and returns what this instance holds, or what it should hold if that is free.
 func (s *State) claim(now time.Time, name id.Organisation, o *organisation, most id.Tokens) float64 {
-	target := s.members.target(s.config.Instance, name)
+	demand := s.members.demand(name)
+	target := s.members.target(s.members.all[s.config.Instance], name, demand)
 	free, wanted := 1-o.part, 0.0
 	for other, e := range s.members.all {
 		if other != s.config.Instance {
 			free -= e.Held[name]
-			wanted += max(s.members.target(other, name)-e.Held[name], 0)
+			wanted += max(s.members.target(e, name, demand)-e.Held[name], 0)
 		}
 	}
 	if missing := wanted - max(free, 0); target < o.part && missing > 0 {
@@ -91,11 +92,7 @@
 		if limit.Rate <= 0 || o.claim <= o.part || own.Held[name] < o.claim {
 			continue
 		}
-		sum := 0.0
-		for _, e := range s.members.all {
-			sum += e.Held[name]
-		}
-		if sum <= 1+heldSlack {
+		if s.members.held(name) <= 1+heldSlack {
 			o.part = o.claim
 			s.setShare(name, o)
 		}
@@ -139,7 +136,8 @@
 		return
 	}
 	o.isRestored = true
-	o.part = own.Held[name]
+	// The last heartbeat may hold a claim that did not fit and was never used.
+	o.part = max(own.Held[name]-max(s.members.held(name)-1, 0), 0)
 	o.claim = o.part
 	s.setShare(name, o)
 	o.told = sum(own.Spent[name])
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -129,19 +129,26 @@
 // has some room and a view that is behind does little harm.
 const evenPart = 0.4
 
-// target returns the part of an organisation's limit that an instance should hold, from the demand that each has
-// published.
-func (m *members) target(name id.Instance, o id.Organisation) float64 {
+// target returns the part of an organisation's limit that an instance should hold, from its demand and that of all.
+func (m *members) target(e *member, o id.Organisation, demand float64) float64 {
 	even := 1 / float64(m.count())
-	sum := m.demand(o)
-	if sum <= 0 {
+	if demand <= 0 {
 		return even
 	}
 	var own float64
-	if e := m.all[name]; e != nil {
+	if e != nil {
 		own = e.Demand[o]
 	}
-	return evenPart*even + (1-evenPart)*own/sum
+	return evenPart*even + (1-evenPart)*own/demand
+}
+
+// held returns what all instances together hold or claim of an organisation's limit.
+func (m *members) held(o id.Organisation) float64 {
+	var sum float64
+	for _, e := range m.all {
+		sum += e.Held[o]
+	}
+	return sum
 }
 
 // demand returns what callers ask for of an organisation, per second at all instances.
--- a/internal/entry/quota_test.go
+++ b/internal/entry/quota_test.go
@@ -214,3 +214,22 @@
 	list(0.5)
 	w.answer(w.dispatched("/look/1"))
 }
+
+// Guards against a successor that uses a claim of its predecessor which did not fit and was never used, as in the simulation
+// with FLEET_SEED=271 and 376.
+func TestASuccessorDoesNotUseAClaimThatDidNotFit(t *testing.T) {
+	w := &world{T: t, now: start, state: entry.New(entry.Config{
+		Instance: "osrednja-1", Region: "osrednja", DataCentre: "osrednja-1", Bounds: bounds(), Started: 7,
+	})}
+	c := configuration()
+	c.Organisations["school"] = entry.Organisation{Rate: 10, Burst: 10}
+	w.reduce(entry.Configured{Configuration: c})
+	w.reduce(entry.UpstreamsListed{Upstreams: upstreams()})
+	held := func(part float64) map[id.Organisation]float64 { return map[id.Organisation]float64{"school": part} }
+	w.reduce(entry.MembersListed{Members: []entry.Member{
+		{Instance: "osrednja-1", Version: 1, Started: 2, Held: held(0.5)},
+		{Instance: "osrednja-2", Version: 2, Started: 3, Held: held(1)},
+	}})
+	_, effects := w.arrive("/look/1")
+	require.Equal(t, entry.CodeRate, refusal(t, effects).Code)
+}
