--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -29,19 +29,35 @@
 	d.at = now
 }
 
+// published returns the rate as heartbeats tell it, zero if it is not worth telling.
+func (d *demand) published(now time.Time) float64 {
+	d.decay(now)
+	if d.perSecond < leastDemand {
+		return 0
+	}
+	return hundredths(d.perSecond)
+}
+
+func hundredths(x float64) float64 { return math.Round(x*demandDigits) / demandDigits }
+
+// inherited returns the last heartbeat of this process's predecessor as long as no configuration is known, and nil
+// otherwise. A heartbeat that tells less would give this instance's part of each limit to the others.
+func (s *State) inherited() *Member {
+	if s.isConfigured {
+		return nil
+	}
+	return s.members.predecessor
+}
+
 // Demand returns what callers ask for per organisation and second, for this instance's heartbeat.
-//
-// Until a configuration is known it is what the predecessor published: a heartbeat without demand would give this
-// instance's part of each limit to the others.
 func (s *State) Demand(now time.Time) map[id.Organisation]float64 {
-	if own := s.members.predecessor; own != nil && !s.isConfigured {
+	if own := s.inherited(); own != nil {
 		return own.Demand
 	}
 	out := make(map[id.Organisation]float64, len(s.organisations))
 	for name, o := range s.organisations {
-		o.demand.decay(now)
-		if o.demand.perSecond >= leastDemand {
-			out[name] = math.Round(o.demand.perSecond*demandDigits) / demandDigits
+		if rate := o.demand.published(now); rate > 0 {
+			out[name] = rate
 		}
 	}
 	return out
@@ -49,12 +65,12 @@
 
 // Kept returns the part of the objects that stay in the region, per service, for this instance's heartbeat.
 func (s *State) Kept() map[id.Service]float64 {
-	if own := s.members.predecessor; own != nil && !s.isConfigured {
+	if own := s.inherited(); own != nil {
 		return own.Kept
 	}
 	out := make(map[id.Service]float64, len(s.services))
 	for name, svc := range s.services {
-		out[name] = math.Round(svc.chooser.Kept()*demandDigits) / demandDigits
+		out[name] = hundredths(svc.chooser.Kept())
 	}
 	return out
 }
@@ -66,27 +82,27 @@
 		return
 	}
 	for name, svc := range s.services {
-		if kept, ok := own.Kept[name]; ok && !svc.isRestored {
+		if svc.isRestored {
+			continue
+		}
+		svc.isRestored = true
+		svc.chooser.AssumeCold(s.now)
+		if kept, ok := own.Kept[name]; ok {
 			svc.chooser.Restore(kept)
 			svc.work = demand{perSecond: own.Work[name], at: s.now}
 		}
-		if !svc.isRestored {
-			svc.chooser.AssumeCold(s.now)
-		}
-		svc.isRestored = true
 	}
 }
 
 // Work returns the slots that the requests of this instance's callers would keep busy, for its heartbeat.
 func (s *State) Work(now time.Time) map[id.Service]float64 {
-	if own := s.members.predecessor; own != nil && !s.isConfigured {
+	if own := s.inherited(); own != nil {
 		return own.Work
 	}
 	out := make(map[id.Service]float64, len(s.services))
 	for name, svc := range s.services {
-		svc.work.decay(now)
-		if svc.work.perSecond >= leastDemand {
-			out[name] = math.Round(svc.work.perSecond*demandDigits) / demandDigits
+		if work := svc.work.published(now); work > 0 {
+			out[name] = work
 		}
 	}
 	return out
@@ -97,15 +113,15 @@
 func (s *State) Bound(now time.Time) map[id.Service]map[id.Region]float64 {
 	out := make(map[id.Service]map[id.Region]float64)
 	for name, svc := range s.services {
-		for region, work := range svc.bound {
-			work.decay(now)
-			if work.perSecond < leastDemand {
+		for region, bound := range svc.bound {
+			work := bound.published(now)
+			if work == 0 {
 				continue
 			}
 			if out[name] == nil {
 				out[name] = make(map[id.Region]float64)
 			}
-			out[name][region] = math.Round(work.perSecond*demandDigits) / demandDigits
+			out[name][region] = work
 		}
 	}
 	return out
--- a/internal/entry/holding.go
+++ b/internal/entry/holding.go
@@ -36,7 +36,7 @@
 // Until a configuration is known it is what the predecessor held, and nothing before the first heartbeat has been read
 // back: instances that start together see each other before one of them claims the whole.
 func (s *State) Held(now time.Time) map[id.Organisation]float64 {
-	if own := s.members.predecessor; own != nil && !s.isConfigured {
+	if own := s.inherited(); own != nil {
 		return own.Held
 	}
 	out := make(map[id.Organisation]float64, len(s.organisations))
@@ -162,7 +162,7 @@
 //
 // Until a configuration is known it is what the predecessor told.
 func (s *State) Spent(now time.Time) map[id.Organisation][]id.Tokens {
-	if own := s.members.predecessor; own != nil && !s.isConfigured {
+	if own := s.inherited(); own != nil {
 		return own.Spent
 	}
 	s.hasAsked = false
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -31,7 +31,7 @@
 	predecessor *Member
 	// firstVersion is the version of this process's first heartbeat, zero until it has been read back.
 	firstVersion uint64
-	// isJoined is set once this instance may hold its parts of the limits.
+	// isJoined is set once all that serve divide the limits with this instance.
 	isJoined bool
 }
 
--- a/internal/entry/quota_test.go
+++ b/internal/entry/quota_test.go
@@ -81,9 +81,7 @@
 // Guards against a new instance that takes the whole limit because it has seen no other yet: in the fault soak, four that
 // started within a second let 152 requests through where 141 were allowed (seed 1).
 func TestANewInstanceWaitsUntilTheOthersHaveSeenIt(t *testing.T) {
-	w := &world{T: t, now: start, state: entry.New(entry.Config{
-		Instance: "osrednja-1", Region: "osrednja", DataCentre: "osrednja-1", Bounds: bounds(), Started: 7,
-	})}
+	w := newProcess(t)
 	w.reduce(entry.Configured{Configuration: configuration()})
 	w.reduce(entry.UpstreamsListed{Upstreams: upstreams()})
 	own := entry.Member{Instance: "osrednja-1", Version: 20, Started: 7}
@@ -102,9 +100,7 @@
 
 // Guards against a new instance that waits for one that has been dead for long.
 func TestANewInstanceDoesNotWaitForADeadOne(t *testing.T) {
-	w := &world{T: t, now: start, state: entry.New(entry.Config{
-		Instance: "osrednja-1", Region: "osrednja", DataCentre: "osrednja-1", Bounds: bounds(), Started: 7,
-	})}
+	w := newProcess(t)
 	w.reduce(entry.Configured{Configuration: configuration()})
 	w.reduce(entry.UpstreamsListed{Upstreams: upstreams()})
 	for n := range 5 {
@@ -120,9 +116,7 @@
 // Guards against parts and homes that start anew after a restart: when all instances of a recorded day of Cascadia had been
 // killed, 366 requests within their limits were refused in the next four seconds, against 10 in any four seconds before.
 func TestARestartedProcessGoesOnFromItsPredecessorsDemand(t *testing.T) {
-	w := &world{T: t, now: start, state: entry.New(entry.Config{
-		Instance: "osrednja-1", Region: "osrednja", DataCentre: "osrednja-1", Bounds: bounds(), Started: 7,
-	})}
+	w := newProcess(t)
 	w.reduce(entry.MembersListed{Members: []entry.Member{{
 		Instance: "osrednja-1", Version: 3, Started: 2, Demand: map[id.Organisation]float64{"school": 40},
 		Work: map[id.Service]float64{"pregled": 3}, Kept: map[id.Service]float64{"pregled": 0.4, "darila": 0.9},
@@ -141,9 +135,7 @@
 // Guards against a restarted instance that reads the configuration before the heartbeats and then holds itself for a whole
 // window to the part of zero that it had until then, as three of seven did on ccbw-hold trouble-3.
 func TestTheOrderOfTheFirstReadsLeavesThePart(t *testing.T) {
-	w := &world{T: t, now: start, state: entry.New(entry.Config{
-		Instance: "osrednja-1", Region: "osrednja", DataCentre: "osrednja-1", Bounds: bounds(), Started: 7,
-	})}
+	w := newProcess(t)
 	c := configuration()
 	c.Organisations["school"] = entry.Organisation{Rate: 10, Burst: 10}
 	w.reduce(entry.Configured{Configuration: c})
@@ -218,9 +210,7 @@
 // Guards against a successor that uses a claim of its predecessor which did not fit and was never used, as in the simulation
 // with FLEET_SEED=271 and 376.
 func TestASuccessorDoesNotUseAClaimThatDidNotFit(t *testing.T) {
-	w := &world{T: t, now: start, state: entry.New(entry.Config{
-		Instance: "osrednja-1", Region: "osrednja", DataCentre: "osrednja-1", Bounds: bounds(), Started: 7,
-	})}
+	w := newProcess(t)
 	c := configuration()
 	c.Organisations["school"] = entry.Organisation{Rate: 10, Burst: 10}
 	w.reduce(entry.Configured{Configuration: c})
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -71,6 +71,13 @@
 	next  id.Request
 }
 
+// newProcess returns an instance that has read nothing.
+func newProcess(t *testing.T) *world {
+	return &world{T: t, now: start, state: entry.New(entry.Config{
+		Instance: "osrednja-1", Region: "osrednja", DataCentre: "osrednja-1", Bounds: bounds(), Started: 7,
+	})}
+}
+
 func newWorld(t *testing.T) *world {
 	w := &world{T: t, now: start, state: entry.New(entry.Config{
 		Instance: "osrednja-1", Region: "osrednja", DataCentre: "osrednja-1", Address: "10.0.0.9:80", Bounds: bounds(),
