--- a/id/id.go
+++ b/id/id.go
@@ -23,6 +23,9 @@
 // Instance identifies one instance of the fleet by its name from the settings.
 type Instance string
 
+// Group identifies the instances that share a coordinator: those of a region, or of a data centre in a large region.
+type Group string
+
 // Site identifies a location that client address blocks are steered to.
 type Site string
 
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -20,8 +20,11 @@
 )
 
 const (
-	// membersTable is the table in the platform's store in which the instances register.
-	membersTable = "instances"
+	// The tables of the platform's store that belong to the instances: their heartbeats, what their groups hold of the
+	// limits, and the secret of their sessions.
+	membersTable = "members"
+	groupsTable  = "groups"
+	secretsTable = "secrets"
 	// memoryLimitPercent is the share of the process's memory that the Go runtime's memory limit is set to; the rest is
 	// for socket buffers.
 	memoryLimitPercent = 70
@@ -67,10 +70,12 @@
 		Instance: s.Name, Region: s.Region, DataCentre: s.DataCentre,
 		CallerAddress: s.CallerAddress, ReadinessAddress: s.ReadinessAddress,
 		LookupAddress: s.LookupAddress, MetricsAddress: s.MetricsAddress,
-		Bounds: entryBounds(s.Bounds), MemoryLimit: id.Bytes(s.MemoryMiB) << 20,
+		PeerAddress: s.PeerAddress,
+		Bounds:      entryBounds(s.Bounds), MemoryLimit: id.Bytes(s.MemoryMiB) << 20,
 		Feed: platform.NewStoreClient(s.StoreAddress),
 		Tables: ingress.Tables{
 			Operator: platform.OperatorTable, Upstreams: platform.ServersTable, Members: membersTable,
+			Groups: groupsTable, Secrets: secretsTable,
 		},
 		HeaderCodec:             platform.HeaderCodec{},
 		RowDecoder:              platform.RowDecoder{RegionByDataCentre: s.RegionByDataCentre},
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -108,16 +108,18 @@
 	// boundFraction is the fraction of a fleet-wide bound that instances use. The rest covers requests that arrive
 	// closer together than they were sent, and instances whose views of the membership differ for a moment.
 	boundFraction = 0.9
-	// slackFraction is the fraction of RateSlack that instances use, so that small limits can be divided. The rest of
-	// it and all of RateExcess cover shares that were computed from different heartbeats, and requests that ran twice.
-	slackFraction = 0.4
+	// slackFraction and excessFraction are the fractions of the tolerance beyond a rate, RateSlack and RateExcess, that
+	// instances use, so that small limits can be divided. The rest covers tokens that were used later than granted, and
+	// requests that ran twice.
+	slackFraction  = 0.6
+	excessFraction = 0.4
 )
 
-// maxPerWindow returns the number of requests of an organisation that all instances together may admit within
-// RateWindow.
-func (b Bounds) maxPerWindow(o Organisation) id.Tokens {
-	limit := float64(o.Rate)*b.RateWindow.Seconds() + float64(o.Burst)
-	return id.Tokens(limit + b.RateSlack*slackFraction)
+// bucketDepth returns the tokens of an organisation that all instances together may save up. With the refill, they
+// admit at most rate times RateWindow plus burst within RateWindow, and a part of the tolerance.
+func (b Bounds) bucketDepth(o Organisation) id.Tokens {
+	excess := excessFraction * b.RateExcess * (float64(o.Rate)*b.RateWindow.Seconds() + float64(o.Burst))
+	return o.Burst + id.Tokens(b.RateSlack*slackFraction+excess)
 }
 
 // maxColdRate returns the number of requests per second that all instances together may send to a cold upstream of a
--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -41,7 +41,7 @@
 func roundForHeartbeat(x float64) float64 { return math.Round(x*heartbeatScale) / heartbeatScale }
 
 // predecessorHeartbeat returns the last heartbeat of this process's predecessor until a configuration is known, and nil
-// from then on. Heartbeats with lower values would let the others claim this instance's share of each limit.
+// from then on, so that the first heartbeat does not report that the load has gone.
 func (s *State) predecessorHeartbeat() *Member {
 	if s.isConfigured {
 		return nil
@@ -49,20 +49,6 @@
 	return s.membership.predecessor
 }
 
-// Demand returns the rate of requests per second of each organisation, for this instance's heartbeat.
-func (s *State) Demand(now time.Time) map[id.Organisation]float64 {
-	if predecessor := s.predecessorHeartbeat(); predecessor != nil {
-		return predecessor.Demand
-	}
-	demands := make(map[id.Organisation]float64, len(s.organisations))
-	for name, o := range s.organisations {
-		if rate := o.demand.heartbeatValue(now); rate > 0 {
-			demands[name] = rate
-		}
-	}
-	return demands
-}
-
 // LocalShares returns the fraction of each service's objects whose home is in this region, for this instance's
 // heartbeat.
 func (s *State) LocalShares() map[id.Service]float64 {
@@ -96,12 +82,26 @@
 	}
 }
 
-// OfferedLoad returns the slots that the requests of this instance's callers would occupy, for its heartbeat. Requests
-// that are restricted to some regions count as PinnedLoad instead.
+// OfferedLoad returns the slots that the requests of the callers of this instance and of its members would occupy, for
+// its heartbeat. Requests that are restricted to some regions count as PinnedLoad instead. A member's heartbeat reports
+// none, since its coordinator's does.
 func (s *State) OfferedLoad(now time.Time) map[id.Service]float64 {
 	if predecessor := s.predecessorHeartbeat(); predecessor != nil {
 		return predecessor.OfferedLoad
 	}
+	if !s.IsCoordinator() {
+		return nil
+	}
+	loads := s.ownOfferedLoad(now)
+	for _, l := range s.group.lenders {
+		for name, load := range l.offeredLoad {
+			loads[name] = roundForHeartbeat(loads[name] + load)
+		}
+	}
+	return loads
+}
+
+func (s *State) ownOfferedLoad(now time.Time) map[id.Service]float64 {
 	loads := make(map[id.Service]float64, len(s.services))
 	for name, svc := range s.services {
 		if load := svc.offeredLoad.heartbeatValue(now); load > 0 {
@@ -111,9 +111,27 @@
 	return loads
 }
 
-// PinnedLoad returns the slots that those requests of this instance's callers would occupy that are restricted to some
-// regions, by service and region, for its heartbeat.
+// PinnedLoad returns the slots that those requests counted by OfferedLoad would occupy that are restricted to some
+// regions, by service and region, for the heartbeat.
 func (s *State) PinnedLoad(now time.Time) map[id.Service]map[id.Region]float64 {
+	if !s.IsCoordinator() {
+		return nil
+	}
+	loads := s.ownPinnedLoad(now)
+	for _, l := range s.group.lenders {
+		for name, byRegion := range l.pinnedLoad {
+			if loads[name] == nil {
+				loads[name] = make(map[id.Region]float64)
+			}
+			for region, load := range byRegion {
+				loads[name][region] = roundForHeartbeat(loads[name][region] + load)
+			}
+		}
+	}
+	return loads
+}
+
+func (s *State) ownPinnedLoad(now time.Time) map[id.Service]map[id.Region]float64 {
 	loads := make(map[id.Service]map[id.Region]float64)
 	for name, svc := range s.services {
 		for region, rate := range svc.pinnedLoad {
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -45,15 +45,31 @@
 	Request id.Request
 }
 
-// WriteHeartbeat requests an early heartbeat, since a successor of this process would otherwise not count the latest
-// spending.
-type WriteHeartbeat struct{}
+// Send sends a message to another instance; it may be lost.
+type Send struct {
+	To      id.Instance
+	Message PeerMessage
+}
+
+// SetContacts replaces the instances to keep sessions with.
+type SetContacts struct {
+	Contacts []Contact
+}
+
+// CoordinatorChanged reports that this instance follows another coordinator; the names may be empty.
+type CoordinatorChanged struct {
+	Previous, Current id.Instance
+	// Members is the number of instances that report to this one.
+	Members int
+}
 
-func (WriteHeartbeat) isEffect() {}
-func (Dispatch) isEffect()       {}
-func (Refuse) isEffect()         {}
-func (Deliver) isEffect()        {}
-func (Cancel) isEffect()         {}
+func (Send) isEffect()               {}
+func (SetContacts) isEffect()        {}
+func (CoordinatorChanged) isEffect() {}
+func (Dispatch) isEffect()           {}
+func (Refuse) isEffect()             {}
+func (Deliver) isEffect()            {}
+func (Cancel) isEffect()             {}
 
 // RequestID returns the request.
 func (e Dispatch) RequestID() id.Request { return e.Request }
@@ -117,9 +133,11 @@
 	Service id.Service
 	// Organisation is empty if the key is unknown.
 	Organisation id.Organisation
-	// Spent is the tokens that the organisation has spent within the window at this instance, and Limit the instance's
-	// share of the organisation's limit.
-	Spent, Limit id.Tokens
+	// Coordinator gives out the tokens of the organisation's limit; Share is the group's share of it, and Tokens what
+	// this instance has left as the coordinator.
+	Coordinator id.Instance
+	Share       float64
+	Tokens      id.Tokens
 	// QueueLength is the number of the service's queued requests, and EstimatedWait the estimated wait of a new one.
 	QueueLength   int
 	EstimatedWait time.Duration
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -45,6 +45,10 @@
 	Region     id.Region
 	DataCentre id.DataCentre
 	Address    string
+	// PeerAddress accepts sessions of other instances.
+	PeerAddress string
+	// Vouched are the members of the group that report to the instance and write no heartbeats themselves.
+	Vouched []id.Instance
 	// Leaving is set while the instance shuts down.
 	Leaving bool
 	// Version changes with each heartbeat.
@@ -53,20 +57,13 @@
 	ReadVersion uint64
 	// StartTime is when the process started, by its own clock; another value indicates a restart.
 	StartTime int64
-	// Demand is the rate of requests per second at the instance, per organisation.
-	Demand map[id.Organisation]float64
-	// OfferedLoad is the slots that the requests of the instance's callers would occupy, per service, without
-	// PinnedLoad.
+	// OfferedLoad is the slots that the requests of the instance's callers, and of those of the members that it vouches
+	// for, would occupy, per service, without PinnedLoad.
 	OfferedLoad map[id.Service]float64
 	// PinnedLoad is the slots that requests which are restricted to some regions would occupy there, per service.
 	PinnedLoad map[id.Service]map[id.Region]float64
 	// LocalShares are the fractions of the objects whose home is in the instance's region, per service.
 	LocalShares map[id.Service]float64
-	// LimitShares are the shares of the organisations' limits that the instance holds or claims.
-	LimitShares map[id.Organisation]float64
-	// SpentBuckets are the tokens of each limit that the instance spent within the last window, in equal buckets, the
-	// newest last.
-	SpentBuckets map[id.Organisation][]id.Tokens
 	// Suspects are the requests that have crashed upstreams.
 	Suspects []retry.Report
 }
@@ -76,6 +73,20 @@
 	Members []Member
 }
 
+// GroupsRead reports the rows of all groups.
+type GroupsRead struct {
+	Groups []GroupRow
+}
+
+// MessageReceived reports a message of another instance, which has proved its name.
+type MessageReceived struct {
+	From    id.Instance
+	Message PeerMessage
+}
+
+// Suspended reports that the clock may have missed time: the process was suspended, or the time of day was set.
+type Suspended struct{}
+
 // RequestArrived reports a caller's request whose body has been read.
 type RequestArrived struct {
 	Request id.Request
@@ -119,6 +130,9 @@
 func (UpstreamsChanged) isEvent()     {}
 func (EvacuationsChanged) isEvent()   {}
 func (MembersRead) isEvent()          {}
+func (GroupsRead) isEvent()           {}
+func (MessageReceived) isEvent()      {}
+func (Suspended) isEvent()            {}
 func (RequestArrived) isEvent()       {}
 func (CallerDisconnected) isEvent()   {}
 func (AttemptEnded) isEvent()         {}
--- /dev/null
+++ b/internal/entry/group.go
@@ -0,0 +1,486 @@
+package entry
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bluebellhold/id"
+	"bluebellhold/retry"
+)
+
+const (
+	// reportInterval is the time between two reports of a member to its contacts.
+	reportInterval = 500 * time.Millisecond
+	// contactTimeout is the time without a beat after which a contact counts as dead.
+	contactTimeout = 1500 * time.Millisecond
+	// lendDuration is how long a coordinator may count a member's part of the limits after the beat that the member's
+	// report echoes. It exceeds contactTimeout, so that a member that takes a coordinator for dead lends its part to
+	// another one shortly afterwards.
+	lendDuration = 1600 * time.Millisecond
+	// sharesInterval is the time between two beats that contain the group's shares of the limits.
+	sharesInterval = 2 * time.Second
+	// liveContacts is the number of live contacts that a member keeps: the coordinator and its deputy.
+	liveContacts = 2
+	// maxContacts bounds the contacts that a member tries, in case the first ones are dead.
+	maxContacts = 6
+	// maxRegionGroup is the number of instances in a region above which each data centre is a group of its own. It
+	// bounds the members of a coordinator, which cost it some 100 us of processor time a second each.
+	maxRegionGroup = 128
+)
+
+// PeerMessage is a message between two instances of a group.
+type PeerMessage interface{ isPeerMessage() }
+
+// Stamp is a reading of its sender's clock, which only the sender interprets.
+type Stamp int64
+
+// MemberReport is the state of a member, sent to the instances that may coordinate its group.
+type MemberReport struct {
+	// Stamp is the sender's clock, and Echo the stamp of the last beat that it got from the receiver, or zero.
+	Stamp, Echo Stamp
+	// Lends is set if the receiver may count the sender's part of the limits.
+	Lends       bool
+	OfferedLoad map[id.Service]float64
+	PinnedLoad  map[id.Service]map[id.Region]float64
+	Suspects    []retry.Report
+}
+
+// CoordinatorBeat answers the MemberReport with the same stamp.
+type CoordinatorBeat struct {
+	// Stamp is the sender's clock, and Echo the stamp of the report.
+	Stamp, Echo Stamp
+	// Leaving is set if the sender shuts down and no longer coordinates the group.
+	Leaving bool
+	// Shares are the group's shares of the limits; nil in most beats.
+	Shares map[id.Organisation]float64
+	// LocalShares are the fractions of the objects whose home is in the group's region, per service.
+	LocalShares map[id.Service]float64
+	Suspects    []retry.Report
+}
+
+func (MemberReport) isPeerMessage()    {}
+func (CoordinatorBeat) isPeerMessage() {}
+
+// group is an instance's view of its group, as a member and as a coordinator.
+//
+// The coordinator is the first instance in an order that all members compute alike, among those that this instance
+// hears. Members can disagree on it for a while, or always if some of them are partitioned. That is safe: each member
+// lends its part of the group's share of the limits, an equal one, to one coordinator at a time, and a coordinator gives
+// out the parts that it was lent. The lease of a part runs from a stamp of the coordinator's own clock, so neither a
+// delayed message nor a paused process prolongs it.
+type group struct {
+	startedAt time.Time
+	// regionSize is the number of known instances in the region.
+	regionSize int
+	// ranked are the members in the order in which they coordinate the group, as of the last read of the heartbeats.
+	ranked   []id.Instance
+	contacts map[id.Instance]*contact
+	// dialled are the contacts that the shell connects to, in order.
+	dialled []Contact
+	// coordinator is empty until one is known.
+	coordinator id.Instance
+	lenders     map[id.Instance]*lender
+	// ownPartFrom is when this instance's part of the limits is certainly not lent any more.
+	ownPartFrom  time.Time
+	nextReportAt time.Time
+	// fraction is the fraction of the group's share that this instance gives out as a coordinator.
+	fraction float64
+	// shares is the group's view of the limits; see share.go.
+	shares groupShares
+}
+
+// contact is an instance that this one reports to.
+type contact struct {
+	addedAt time.Time
+	// stamp is from its last beat, which arrived at receivedAt and answered a report of echoedAt.
+	stamp                Stamp
+	receivedAt, echoedAt time.Time
+	isLeaving            bool
+}
+
+// isAlive reports whether the contact answers reports. The age is that of the report, so a delayed beat is no sign of
+// life.
+func (c *contact) isAlive(now time.Time) bool {
+	return c != nil && !c.isLeaving && !c.echoedAt.IsZero() && now.Sub(c.echoedAt) < contactTimeout
+}
+
+// lender is a member that reports to this instance.
+type lender struct {
+	// stamp is from its last report.
+	stamp      Stamp
+	reportedAt time.Time
+	// echoedAt is when this instance sent the last beat that the member got before its last report.
+	echoedAt time.Time
+	// lendsUntil is when its part of the limits must no longer be counted.
+	lendsUntil  time.Time
+	offeredLoad map[id.Service]float64
+	pinnedLoad  map[id.Service]map[id.Region]float64
+	// sharesSentAt is when it last got the group's shares.
+	sharesSentAt time.Time
+}
+
+func newGroup() group {
+	return group{
+		contacts: make(map[id.Instance]*contact), lenders: make(map[id.Instance]*lender), shares: newGroupShares(),
+	}
+}
+
+// Group returns the group of this instance: its region, or its data centre if the region is large.
+func (s *State) Group() id.Group {
+	if s.group.regionSize > maxRegionGroup {
+		return id.Group(s.config.DataCentre)
+	}
+	return id.Group(s.config.Region)
+}
+
+// isInGroup reports whether another instance is in the group of this one.
+func (s *State) isInGroup(m *member) bool {
+	return m.Instance != s.config.Instance && m.Region == s.config.Region &&
+		(s.group.regionSize <= maxRegionGroup || m.DataCentre == s.config.DataCentre)
+}
+
+// updateRegionSize counts the instances of the region.
+func (s *State) updateRegionSize() {
+	s.group.regionSize = 1
+	for name, m := range s.membership.members {
+		if name != s.config.Instance && m.Region == s.config.Region {
+			s.group.regionSize++
+		}
+	}
+}
+
+// Coordinator returns the coordinator of the group, or an empty name while none is known.
+func (s *State) Coordinator() id.Instance { return s.group.coordinator }
+
+// IsCoordinator reports whether this instance coordinates itself, and members that report to it.
+func (s *State) IsCoordinator() bool { return s.group.coordinator == s.config.Instance }
+
+// Contact is an instance to keep a session with.
+type Contact struct {
+	Instance id.Instance
+	// Address accepts sessions of other instances.
+	Address string
+}
+
+// rankMembers returns the serving members of the group and this instance, in the order in which they coordinate it.
+func (s *State) rankMembers() []id.Instance {
+	own := s.Group()
+	ranked := []id.Instance{s.config.Instance}
+	for name, m := range s.membership.members {
+		if m.PeerAddress != "" && !m.Leaving && s.isInGroup(m) {
+			ranked = append(ranked, name)
+		}
+	}
+	hashes := make(map[id.Instance]uint64, len(ranked))
+	for _, name := range ranked {
+		hashes[name] = xxhash.Sum64String(string(own) + "/" + string(name))
+	}
+	slices.SortFunc(ranked, func(a, b id.Instance) int {
+		return cmp.Or(cmp.Compare(hashes[b], hashes[a]), cmp.Compare(a, b))
+	})
+	return ranked
+}
+
+// updateContacts chooses the instances to report to: those before this one in the order, up to the second live one.
+func (s *State) updateContacts() {
+	g := &s.group
+	var dialled []Contact
+	live := 0
+	for _, name := range s.group.ranked {
+		if name == s.config.Instance || live == liveContacts || len(dialled) == maxContacts {
+			break
+		}
+		c := g.contacts[name]
+		if c == nil {
+			c = &contact{addedAt: s.now}
+			g.contacts[name] = c
+		}
+		if c.isAlive(s.now) || s.now.Sub(c.addedAt) < contactTimeout {
+			live++
+		}
+		dialled = append(dialled, Contact{Instance: name, Address: s.membership.members[name].PeerAddress})
+	}
+	for name := range g.contacts {
+		if !slices.ContainsFunc(dialled, func(c Contact) bool { return c.Instance == name }) {
+			delete(g.contacts, name)
+		}
+	}
+	if !slices.Equal(dialled, g.dialled) {
+		g.dialled = dialled
+		s.emit(SetContacts{Contacts: dialled})
+	}
+	s.updateCoordinator()
+}
+
+// updateCoordinator determines the coordinator: the first live contact, or this instance if there is none. While a
+// contact may still answer its first report, there is none.
+func (s *State) updateCoordinator() {
+	g := &s.group
+	next := s.config.Instance
+	isPending := s.membership.readAt.IsZero()
+	for _, d := range g.dialled {
+		c := g.contacts[d.Instance]
+		if c.isAlive(s.now) {
+			next, isPending = d.Instance, false
+			break
+		}
+		isPending = isPending || c.echoedAt.IsZero() && !c.isLeaving && s.now.Sub(c.addedAt) < contactTimeout
+	}
+	if next == s.config.Instance && isPending {
+		// The current coordinator may still be alive.
+		if g.contacts[g.coordinator].isAlive(s.now) || g.coordinator == s.config.Instance {
+			return
+		}
+		next = ""
+	}
+	if next == g.coordinator {
+		return
+	}
+	previous := g.coordinator
+	g.coordinator = next
+	if next == s.config.Instance {
+		g.shares.hasRead = false
+	}
+	s.updateFraction()
+	s.emit(CoordinatorChanged{Previous: previous, Current: next, Members: len(g.lenders)})
+	s.askAgain()
+}
+
+// timeOf converts a stamp of this instance's clock, which another instance returned; zero if there is none. A stamp
+// from the future is not one of this process.
+func (s *State) timeOf(stamp Stamp) time.Time {
+	at := s.group.startedAt.Add(time.Duration(stamp))
+	if stamp <= 0 || at.After(s.now) {
+		return time.Time{}
+	}
+	return at
+}
+
+func (s *State) stamp() Stamp { return Stamp(s.now.Sub(s.group.startedAt)) + 1 }
+
+// handleReport records a member's report and answers it.
+func (s *State) handleReport(from id.Instance, r MemberReport) {
+	g := &s.group
+	l := g.lenders[from]
+	if l == nil {
+		l = &lender{}
+		g.lenders[from] = l
+	}
+	l.stamp, l.reportedAt, l.offeredLoad, l.pinnedLoad = r.Stamp, s.now, r.OfferedLoad, r.PinnedLoad
+	l.echoedAt, l.lendsUntil = s.timeOf(r.Echo), time.Time{}
+	if r.Lends && !l.echoedAt.IsZero() && !s.isStopping {
+		l.lendsUntil = l.echoedAt.Add(lendDuration)
+	}
+	for _, suspect := range r.Suspects {
+		s.crashDetector.suspects.MergeReport(s.now, suspect)
+	}
+	s.updateFraction()
+	beat := CoordinatorBeat{
+		Stamp: s.stamp(), Echo: r.Stamp, Leaving: s.isStopping, LocalShares: s.LocalShares(),
+		Suspects: s.crashDetector.suspects.Reports(s.now),
+	}
+	if s.IsCoordinator() && s.now.Sub(l.sharesSentAt) >= sharesInterval && g.shares.hasRead {
+		l.sharesSentAt = s.now
+		beat.Shares = s.heldShares()
+	}
+	s.emit(Send{To: from, Message: beat})
+}
+
+// handleBeat records a contact's beat.
+func (s *State) handleBeat(from id.Instance, b CoordinatorBeat) {
+	g := &s.group
+	c := g.contacts[from]
+	echoedAt := s.timeOf(b.Echo)
+	if c == nil || echoedAt.IsZero() {
+		return
+	}
+	c.stamp, c.receivedAt, c.isLeaving = b.Stamp, s.now, b.Leaving
+	c.echoedAt = later(c.echoedAt, echoedAt)
+	if b.Leaving {
+		// A leaving coordinator counts no lent parts any more.
+		s.releasePart(from)
+	}
+	s.updateCoordinator()
+	if from != g.coordinator {
+		return
+	}
+	for _, suspect := range b.Suspects {
+		s.crashDetector.suspects.MergeReport(s.now, suspect)
+	}
+	for name, share := range b.LocalShares {
+		if svc := s.services[name]; svc != nil {
+			svc.chooser.RestoreLocalShare(share)
+		}
+	}
+	if b.Shares != nil {
+		s.adoptShares(b.Shares)
+	}
+}
+
+// releasePart allows this instance's part of the limits to be lent again at once.
+func (s *State) releasePart(from id.Instance) {
+	if s.group.shares.lentTo == from {
+		s.group.shares.lentTo, s.group.ownPartFrom = "", s.now
+	}
+}
+
+// sendReports reports to all contacts when it is due.
+func (s *State) sendReports() {
+	g := &s.group
+	if s.now.Before(g.nextReportAt) {
+		return
+	}
+	g.nextReportAt = s.now.Add(reportInterval)
+	s.updateContacts()
+	s.expireLenders()
+	for _, d := range g.dialled {
+		c := g.contacts[d.Instance]
+		report := MemberReport{Stamp: s.stamp(), Echo: c.stamp}
+		if d.Instance == g.coordinator {
+			report.OfferedLoad, report.PinnedLoad = s.ownOfferedLoad(s.now), s.ownPinnedLoad(s.now)
+			report.Suspects = s.crashDetector.suspects.Reports(s.now)
+			report.Lends = s.lendPart(c)
+		}
+		s.emit(Send{To: d.Instance, Message: report})
+	}
+}
+
+// lendPart reports whether this instance's part of the limits may be lent to its coordinator now. The lease ends at the
+// latest at lendDuration after the arrival of the beat that the report echoes.
+func (s *State) lendPart(c *contact) bool {
+	g := &s.group
+	if s.isStopping || c.stamp == 0 || g.shares.lentTo != g.coordinator && s.now.Before(g.ownPartFrom) {
+		return false
+	}
+	g.shares.lentTo = g.coordinator
+	g.ownPartFrom = later(g.ownPartFrom, c.receivedAt.Add(lendDuration))
+	return true
+}
+
+// expireLenders forgets members that no longer report.
+func (s *State) expireLenders() {
+	maps.DeleteFunc(s.group.lenders, func(_ id.Instance, l *lender) bool {
+		return s.now.Sub(l.reportedAt) >= contactTimeout && !s.now.Before(l.lendsUntil)
+	})
+	s.updateFraction()
+}
+
+// updateFraction determines the fraction of the group's share that this instance may give out.
+func (s *State) updateFraction() {
+	g := &s.group
+	parts := 0
+	if s.IsCoordinator() && !s.isStopping && !s.now.Before(g.ownPartFrom) {
+		parts++
+	}
+	for _, l := range g.lenders {
+		if s.now.Before(l.lendsUntil) {
+			parts++
+		}
+	}
+	fraction := min(float64(parts)/float64(max(s.groupSize(), 1)), 1)
+	if fraction == g.fraction {
+		return
+	}
+	g.fraction = fraction
+	s.applyShares()
+}
+
+// groupSize returns the number of instances that have a part of the group's share of the limits.
+func (s *State) groupSize() int {
+	size := 1
+	for _, m := range s.membership.members {
+		if s.isInGroup(m) && m.silence < partTimeout && !(m.Leaving && m.silence > leavingPartTimeout) {
+			size++
+		}
+	}
+	return size
+}
+
+// partTimeout is the silence after which an instance no longer has a part of its group's share. It exceeds the time
+// after which a partitioned instance stops using its own part.
+const partTimeout = 12 * time.Second
+
+// leavingPartTimeout is the silence after which an instance that was leaving no longer has a part: its last heartbeat is
+// from the start of its grace period, in which it lends its part to nobody.
+const leavingPartTimeout = 2 * time.Second
+
+// Vouched returns the members that report to this instance, so that they need no heartbeats of their own. They have got
+// what this instance has read of the heartbeats, since a beat that was sent after it has reached them.
+func (s *State) Vouched() []id.Instance {
+	if !s.IsCoordinator() {
+		return nil
+	}
+	var names []id.Instance
+	for name, l := range s.group.lenders {
+		if s.now.Sub(l.reportedAt) < contactTimeout && !l.echoedAt.Before(s.membership.lastReadAt) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// NeedsHeartbeat reports whether this instance writes its own heartbeat: unless its coordinator's heartbeat vouches for
+// it.
+func (s *State) NeedsHeartbeat() bool {
+	if s.isStopping || s.IsCoordinator() || s.group.coordinator == "" || s.membership.firstVersion == 0 {
+		return true
+	}
+	coordinator := s.membership.members[s.group.coordinator]
+	return coordinator == nil || coordinator.silence > vouchTimeout ||
+		!slices.Contains(coordinator.Vouched, s.config.Instance)
+}
+
+// vouchTimeout is the silence of a coordinator after which its members write their own heartbeats: it may be
+// partitioned from the store.
+const vouchTimeout = 2500 * time.Millisecond
+
+// isServing reports whether an instance serves callers, from its heartbeats and from what this instance hears of it.
+func (s *State) isServing(name id.Instance, m *member) bool {
+	if m.Leaving {
+		return false
+	}
+	l := s.group.lenders[name]
+	return m.silence < livenessTimeout || s.group.contacts[name].isAlive(s.now) ||
+		l != nil && s.now.Sub(l.reportedAt) < contactTimeout
+}
+
+// ReportStamp returns the stamp of the last report of a member, and whether it reports to this instance.
+func (s *State) ReportStamp(name id.Instance) (Stamp, bool) {
+	l := s.group.lenders[name]
+	if l == nil {
+		return 0, false
+	}
+	return l.stamp, true
+}
+
+// TimeOf returns the time of a stamp of this instance's clock, and false if the stamp is not from this process.
+func (s *State) TimeOf(now time.Time, stamp Stamp) (time.Time, bool) {
+	s.now = now
+	at := s.timeOf(stamp)
+	return at, !at.IsZero()
+}
+
+// suspend handles that the process was suspended or the time of day was set: the clock of the leases may have missed
+// time, so everything that was lent counts as expired.
+func (s *State) suspend() {
+	g := &s.group
+	g.lenders = make(map[id.Instance]*lender)
+	g.ownPartFrom = s.now.Add(lendDuration)
+	g.shares.lentTo = ""
+	for _, c := range g.contacts {
+		*c = contact{addedAt: s.now}
+	}
+	for _, o := range s.organisations {
+		o.bucket.Drain(s.now)
+		o.stock = tokenStock{waiting: o.stock.waiting, sequence: o.stock.sequence}
+	}
+	g.nextReportAt = s.now
+	g.coordinator = ""
+	s.updateFraction()
+	s.sendReports()
+}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -11,34 +11,39 @@
 	// livenessTimeout is the time without a heartbeat after which an instance is excluded from look-ups. It passes
 	// after two reads without a new heartbeat, as heartbeats are written and read every 2 s.
 	livenessTimeout = 3500 * time.Millisecond
-	// removalTimeout is the time without a heartbeat after which an instance no longer holds a share of the limits. An
-	// instance that is partitioned from the store goes on spending its share, so it is much longer than an outage.
+	// removalTimeout is the time without a heartbeat after which an instance no longer counts for the bounds that are
+	// divided among the instances. An instance that is partitioned from the store goes on using its part of them, so it
+	// is much longer than an outage.
 	removalTimeout = 5 * time.Minute
 )
 
-// leavingRemovalTimeout is the time without a heartbeat after which an instance that was leaving no longer holds a
-// share: twice the sum of the longest grace period and window of the users' deployments.
+// leavingRemovalTimeout is the time without a heartbeat after which an instance that was leaving no longer counts:
+// twice the sum of the longest grace period and window of the users' deployments.
 const leavingRemovalTimeout = 22 * time.Second
 
 // membership is an instance's view of the fleet, from the heartbeats in the store.
 type membership struct {
 	self    id.Instance
 	members map[id.Instance]*member
-	// readAt is when the heartbeats were last read.
-	readAt time.Time
+	// known are the sorted names of the members as of the last read.
+	known []id.Instance
+	// startedAt is when the process started.
+	startedAt time.Time
+	// readAt is when the heartbeats were last read and some were new, and lastReadAt when they were last read.
+	readAt, lastReadAt time.Time
 	// startTime distinguishes this process from its predecessors; predecessor is their last heartbeat.
 	startTime   int64
 	predecessor *Member
 	// firstVersion is the version of this process's first heartbeat, zero until it has been read back.
 	firstVersion uint64
-	// isJoined is set once all serving instances divide the limits with this one; see join.
+	// isJoined is set once all serving instances divide the bounds with this one; see join.
 	isJoined bool
 }
 
 type member struct {
 	Member
-	// silence sums the time between reads that found no new heartbeat although this instance's own had been renewed, so
-	// that an outage of the store is not counted.
+	// silence sums the time between reads that found no sign of life of the instance although there were new heartbeats
+	// of others, so that an outage of the store is not counted.
 	silence time.Duration
 }
 
@@ -50,16 +55,27 @@
 // unavailable or this instance was partitioned from it, which says nothing about the others.
 const maxSilencePerRead = 2200 * time.Millisecond
 
-// update applies a read of the heartbeats. Silence counts only while this instance's own heartbeats are accepted.
+// update applies a read of the heartbeats. Silence counts only if some heartbeat is new, which shows that the store
+// accepts them, and not for members that a new heartbeat vouches for.
 func (m *membership) update(now time.Time, heartbeats []Member) {
 	elapsed := min(now.Sub(m.readAt), maxSilencePerRead)
 	if m.readAt.IsZero() {
 		elapsed = 0
 	}
-	m.readAt = now
-	isOwnRenewed := slices.ContainsFunc(heartbeats, func(h Member) bool {
-		return h.Instance == m.self && (m.members[m.self] == nil || m.members[m.self].Version != h.Version)
-	})
+	hasNew := false
+	vouched := make(map[id.Instance]bool)
+	for _, h := range heartbeats {
+		if existing := m.members[h.Instance]; existing == nil || existing.Version != h.Version {
+			hasNew = true
+			for _, name := range h.Vouched {
+				vouched[name] = true
+			}
+		}
+	}
+	if hasNew || m.readAt.IsZero() {
+		m.readAt = now
+	}
+	m.lastReadAt = now
 	for _, h := range heartbeats {
 		if h.Instance == m.self && h.StartTime != m.startTime && m.predecessor == nil {
 			m.predecessor = &h
@@ -68,27 +84,38 @@
 		switch {
 		case existing == nil || existing.Version != h.Version:
 			m.members[h.Instance] = &member{Member: h}
-		case isOwnRenewed:
+		case vouched[h.Instance]:
+			existing.silence = 0
+		case hasNew:
 			existing.silence += elapsed
 		}
 	}
 	m.removeDead(heartbeats)
-	m.join(heartbeats)
+	m.join(now, heartbeats)
 }
 
-// join sets isJoined once all serving instances divide the limits with this one, that is, once each of them has written
-// a heartbeat after reading this instance's. A successor joins at once, since it inherits its predecessor's shares.
-func (m *membership) join(heartbeats []Member) {
+// minJoinTime is the time from the start of a process to its joining, so that instances that start together see each
+// other even if they are partitioned from the store soon afterwards.
+const minJoinTime = time.Second
+
+// join sets isJoined once all serving instances divide the bounds with this one, that is, once each of them has written
+// a heartbeat after reading this instance's. Members that another one vouches for read what it reads. A successor joins
+// at once, since it has a place in everybody's list already.
+func (m *membership) join(now time.Time, heartbeats []Member) {
+	vouched := make(map[id.Instance]bool)
 	for _, h := range heartbeats {
 		if h.Instance == m.self && h.StartTime == m.startTime && m.firstVersion == 0 {
 			m.firstVersion = h.Version
 		}
+		for _, name := range h.Vouched {
+			vouched[name] = true
+		}
 	}
-	if m.isJoined = m.isJoined || m.predecessor != nil; m.isJoined || m.firstVersion == 0 {
+	if m.isJoined = m.isJoined || m.predecessor != nil; m.isJoined || m.firstVersion == 0 || now.Sub(m.startedAt) < minJoinTime {
 		return
 	}
 	for name, peer := range m.members {
-		if name != m.self && m.isServing(peer) && peer.ReadVersion < m.firstVersion {
+		if name != m.self && !vouched[name] && m.isServing(peer) && peer.ReadVersion < m.firstVersion {
 			return
 		}
 	}
@@ -97,15 +124,18 @@
 
 // removeDead removes instances without a row and those whose removal timeout has passed.
 func (m *membership) removeDead(heartbeats []Member) {
+	isListed := make(map[id.Instance]bool, len(heartbeats))
+	for _, h := range heartbeats {
+		isListed[h.Instance] = true
+	}
 	for name, existing := range m.members {
-		isListed := slices.ContainsFunc(heartbeats, func(h Member) bool { return h.Instance == name })
-		if !isListed || existing.silence > removalTimeout || existing.Leaving && existing.silence > leavingRemovalTimeout {
+		if !isListed[name] || existing.silence > removalTimeout || existing.Leaving && existing.silence > leavingRemovalTimeout {
 			delete(m.members, name)
 		}
 	}
 }
 
-// count returns the number of instances that hold shares of the limits, including this one.
+// count returns the number of instances that have parts of the bounds, including this one.
 func (m *membership) count() int {
 	n := len(m.members)
 	if m.members[m.self] == nil {
@@ -114,7 +144,7 @@
 	return n
 }
 
-// instances returns the instances that hold shares of the limits, sorted by name.
+// instances returns the instances that have parts of the bounds, sorted by name.
 func (m *membership) instances() []id.Instance {
 	instances := []id.Instance{m.self}
 	for name := range m.members {
@@ -126,51 +156,32 @@
 	return instances
 }
 
-// evenFraction is the fraction of a limit that is divided evenly regardless of the demand, so that an instance with new
-// callers has some capacity and an outdated view does little harm.
-const evenFraction = 0.4
-
-// targetShare returns the share of an organisation's limit that an instance should hold, given the total demand.
-func (m *membership) targetShare(instance *member, organisation id.Organisation, totalDemand float64) float64 {
-	evenShare := 1 / float64(m.count())
-	if totalDemand <= 0 {
-		return evenShare
-	}
-	var demand float64
-	if instance != nil {
-		demand = instance.Demand[organisation]
-	}
-	return evenFraction*evenShare + (1-evenFraction)*demand/totalDemand
-}
-
-// totalShares returns the sum of the shares of an organisation's limit that all instances hold or claim.
-func (m *membership) totalShares(organisation id.Organisation) float64 {
-	var sum float64
-	for _, instance := range m.members {
-		sum += instance.LimitShares[organisation]
-	}
-	return sum
-}
-
-// totalDemand returns the rate of an organisation's requests per second at all instances.
-func (m *membership) totalDemand(organisation id.Organisation) float64 {
-	var sum float64
-	for _, instance := range m.members {
-		sum += instance.Demand[organisation]
-	}
-	return sum
-}
-
 func (m *membership) isServing(instance *member) bool {
 	return !instance.Leaving && instance.silence < livenessTimeout
 }
 
 func (s *State) updateMembers(heartbeats []Member) {
 	s.membership.update(s.now, heartbeats)
-	s.divideLimits()
+	if instances := s.membership.instances(); !slices.Equal(instances, s.membership.known) {
+		s.membership.known = instances
+		s.updateRegionSize()
+		s.divideLimits()
+	}
+	s.group.ranked = s.rankMembers()
 	s.restoreServices()
-	s.adjustLocalShares()
+	if s.IsCoordinator() {
+		s.adjustLocalShares()
+	}
 	s.mergeSuspects(heartbeats)
+	s.updateContacts()
+	s.updateFraction()
+}
+
+// divideLimits divides the fleet-wide bounds of the services among the known instances.
+func (s *State) divideLimits() {
+	for name, svc := range s.services {
+		svc.divideLimits(s, s.configuration.Services[name])
+	}
 }
 
 // Lookup returns the addresses for a caller in the region: the serving instances of that region if there are any, else
@@ -188,7 +199,7 @@
 	}
 	for _, name := range s.membership.instances() {
 		peer := s.membership.members[name]
-		if name != s.config.Instance && peer != nil && s.membership.isServing(peer) {
+		if name != s.config.Instance && peer != nil && s.isServing(name, peer) {
 			add(peer.Region, peer.Address)
 		}
 	}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -40,6 +40,7 @@
 const (
 	stageQueued stage = iota
 	stageInFlight
+	stageAwaitingToken
 )
 
 const (
@@ -92,12 +93,27 @@
 		s.refuse(r, Refusal{Code: CodeSuspect, RetryAt: s.now.Add(suspectRetryDelay)})
 		return
 	}
-	if retryAt, ok := s.takeToken(r.organisation); !ok {
+	s.requests[r.id] = r
+	switch decision, retryAt := s.takeToken(r); decision {
+	case tokenTaken:
+		s.route(r)
+	case tokenRefused:
 		s.refuse(r, Refusal{Code: CodeRateLimited, RetryAt: retryAt})
+	case tokenPending:
+		r.stage = stageAwaitingToken
+	}
+}
+
+// route chooses the service of a request that has a token, and admits it. The configuration may have changed while it
+// waited for the token.
+func (s *State) route(r *request) {
+	r.stage = stageQueued
+	split := s.splits[r.route.ID]
+	if split == nil || s.services[split.peek()] == nil {
+		s.refuse(r, Refusal{Code: CodeNoUpstream, RetryAt: s.now.Add(startingRetryDelay)})
 		return
 	}
-	s.requests[r.id] = r
-	r.service = s.services[s.splits[r.route.ID].next()]
+	r.service = s.services[split.next()]
 	if r.service.recordArrival(s.now, r.route.ID) {
 		r.priority = admission.Priority{Organisation: math.MinInt}
 	}
@@ -151,23 +167,6 @@
 	return len(allowed) > 0
 }
 
-// takeToken takes a token of the organisation's limit; if there is none, it returns when the next one can be taken.
-func (s *State) takeToken(name id.Organisation) (time.Time, bool) {
-	o := s.organisations[name]
-	if o == nil || s.configuration.Organisations[name].Rate <= 0 {
-		return time.Time{}, true
-	}
-	o.demand.add(s.now, 1)
-	if !o.window.Take(s.now) {
-		return o.window.NextTokenAt(s.now), false
-	}
-	if !s.isHeartbeatRequested &&
-		o.window.Spent(s.now) > o.reported+o.unreportedAllowance(o.reported)+s.unreportedTolerance(name, o) {
-		s.needsHeartbeat, s.isHeartbeatRequested = true, true
-	}
-	return time.Time{}, true
-}
-
 // admit dispatches a request, queues it if it is expected to start in time, or refuses it.
 func (s *State) admit(r *request) {
 	svc := r.service
@@ -240,6 +239,11 @@
 		return
 	}
 	r.isDisconnected = true
+	if r.stage == stageAwaitingToken {
+		s.removeWaiting(r)
+		s.refuse(r, Refusal{Code: CodeDeadline})
+		return
+	}
 	if r.stage == stageQueued {
 		r.service.queue.Remove(r.id)
 		s.refuse(r, Refusal{Code: CodeDeadline})
@@ -253,7 +257,10 @@
 // refuseRemovedServices refuses queued requests whose service is no longer in the configuration.
 func (s *State) refuseRemovedServices() {
 	for _, r := range s.requests {
-		if _, ok := s.configuration.Services[r.service.id]; !ok && r.stage == stageQueued {
+		if r.stage != stageQueued {
+			continue
+		}
+		if _, ok := s.configuration.Services[r.service.id]; !ok {
 			r.service.queue.Remove(r.id)
 			s.refuse(r, Refusal{Code: CodeNoUpstream, RetryAt: s.now.Add(startingRetryDelay)})
 		}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -139,6 +139,9 @@
 	s.splits = splits
 }
 
+// peek returns one of the services.
+func (s *trafficSplit) peek() id.Service { return s.targets[0].Service }
+
 // next returns the service of the next request by smooth weighted round robin, so that any sequence of requests is
 // split in nearly the exact proportions.
 func (s *trafficSplit) next() id.Service {
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -2,215 +2,281 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
-	"bluebellhold/allotment"
 	"bluebellhold/id"
 )
 
-// limitShare is this instance's share of an organisation's limit, as a fraction.
+// GroupRow is what the coordinator of a group publishes in the store about its group's shares of the limits.
+type GroupRow struct {
+	Group id.Group
+	// Version changes with each write.
+	Version uint64
+	// Writer and StartTime identify the process that wrote the row.
+	Writer    id.Instance
+	StartTime int64
+	// Size is the number of instances in the group.
+	Size int
+	// Demand is the rate of requests per second of each organisation.
+	Demand map[id.Organisation]float64
+	// Shares are the shares of the organisations' limits that the group holds or claims.
+	Shares map[id.Organisation]float64
+}
+
+// groupShares is a coordinator's view of the shares of all groups.
+type groupShares struct {
+	rows map[id.Group]*groupRecord
+	// hasRead is set once the rows have been read since this instance became the coordinator.
+	hasRead bool
+	readAt  time.Time
+	// hasReadBack is set once a row of this process has been read back.
+	hasReadBack bool
+	// lentTo is the coordinator that this instance lends its part of the limits to.
+	lentTo id.Instance
+}
+
+type groupRecord struct {
+	GroupRow
+	// silence sums the time between reads that found no new row although this group's own had been renewed.
+	silence time.Duration
+}
+
+func newGroupShares() groupShares {
+	return groupShares{rows: make(map[id.Group]*groupRecord)}
+}
+
+// limitShare is a group's share of an organisation's limit, as a fraction.
 //
-// The shares of all instances add up to at most the whole limit, even if their views differ. Each instance publishes
-// its share, or the fraction of the limit that it has spent within the last window if that is larger. To grow, it
-// publishes a claim in its heartbeat, reads the heartbeats of all others, and applies the claim only if the sum fits.
-// The store serialises writes and reads of heartbeats, so of two claims that do not fit together at least one is
-// detected. A share shrinks at once and is published afterwards.
+// The shares of all groups add up to at most the whole limit, even if the views of their coordinators differ. A
+// coordinator publishes its group's share. To grow, it publishes a claim, reads the rows of all groups, and applies the
+// claim only if the sum fits. The store serialises writes and reads of the rows, so of two claims that do not fit
+// together at least one is detected. A share shrinks at once and is published afterwards.
 type limitShare struct {
-	window allotment.SlidingWindow
-	// held is the share in use, and claim the share that the next heartbeat publishes.
+	// held is the share in use, and claim the share that the next row publishes.
 	held, claim float64
-	// reported is the spending that the last heartbeat reported.
-	reported id.Tokens
 }
 
 const (
-	// shareScale keeps heartbeats short: shares are published in ten thousandths, rounded up.
+	// shareScale keeps rows short: shares are published in ten thousandths, rounded up.
 	shareScale = 1e4
-	// shareTolerance exceeds the sum of the rounding of all shares in a fleet of some hundred instances.
+	// shareTolerance exceeds the sum of the rounding of all shares.
 	shareTolerance = 0.01
 	// minShareGrowth is the smallest growth of a share that is worth a claim.
 	minShareGrowth = 0.002
+	// evenFraction is the fraction of a limit that is divided by the size of the groups regardless of the demand, so
+	// that a group with new callers has some capacity and an outdated view does little harm.
+	evenFraction = 0.4
+	// uncertainDemand is the demand in requests per second below which the measured demand of an organisation is mostly
+	// chance, so that its limit is divided by the size of the groups.
+	uncertainDemand = 5.0
+	// groupRemovalTimeout is the time without a new row after which a group no longer holds shares. A group that is
+	// partitioned from the store goes on using its shares, so it is much longer than an outage.
+	groupRemovalTimeout = 5 * time.Minute
 )
 
-// LimitShares returns the shares of the organisations' limits that this instance claims in its next heartbeat.
+// GroupRow returns the row of the group for the store, and false unless this instance coordinates the group and has
+// read the rows.
 //
-// Until a configuration is known, they are those of the predecessor. No growth is claimed before the first heartbeat
-// has been read back, so that instances that start together see each other before one of them claims the whole limit.
-func (s *State) LimitShares(now time.Time) map[id.Organisation]float64 {
-	if predecessor := s.predecessorHeartbeat(); predecessor != nil {
-		return predecessor.LimitShares
+// No growth is claimed before a row of this process has been read back, so that coordinators that start together see
+// each other before one of them claims a whole limit.
+func (s *State) GroupRow(now time.Time) (GroupRow, bool) {
+	s.now = now
+	if !s.IsCoordinator() || !s.group.shares.hasRead || !s.isConfigured {
+		return GroupRow{}, false
+	}
+	row := GroupRow{
+		Group: s.Group(), Writer: s.config.Instance, StartTime: s.config.StartTime, Size: s.groupSize(),
+		Demand: make(map[id.Organisation]float64), Shares: make(map[id.Organisation]float64),
 	}
-	claims := make(map[id.Organisation]float64, len(s.organisations))
 	for name, o := range s.organisations {
-		config := s.configuration.Organisations[name]
-		if config.Rate <= 0 {
+		if s.configuration.Organisations[name].Rate <= 0 {
 			continue
 		}
-		if o.claim = s.computeClaim(now, name, o, s.config.Bounds.maxPerWindow(config)); o.claim > 0 {
-			claims[name] = o.claim
+		if rate := o.groupDemand.heartbeatValue(now); rate > 0 {
+			row.Demand[name] = rate
+		}
+		if o.claim = s.computeClaim(name, o); o.claim > 0 {
+			row.Shares[name] = o.claim
+		}
+	}
+	return row, true
+}
+
+// LacksShares reports whether this instance coordinates a group that holds no share of some organisation's limit.
+func (s *State) LacksShares() bool {
+	if !s.IsCoordinator() {
+		return false
+	}
+	for name, o := range s.organisations {
+		if o.held == 0 && s.configuration.Organisations[name].Rate > 0 {
+			return true
 		}
 	}
-	return claims
+	return false
 }
 
-// computeClaim shrinks the share if the desired growth of the other instances exceeds the free share, and returns the
+// computeClaim shrinks the share if the desired growth of the other groups exceeds the free share, and returns the
 // share to publish: the current one, or a larger one up to the target if that is free.
-func (s *State) computeClaim(now time.Time, name id.Organisation, o *organisation, fleetLimit id.Tokens) float64 {
-	totalDemand := s.membership.totalDemand(name)
-	target := s.membership.targetShare(s.membership.members[s.config.Instance], name, totalDemand)
+func (s *State) computeClaim(name id.Organisation, o *organisation) float64 {
+	totalDemand, totalSize := 0.0, 0
+	for _, row := range s.group.shares.rows {
+		totalDemand += row.Demand[name]
+		totalSize += row.Size
+	}
+	targetOf := func(row *groupRecord) float64 {
+		size, demand := s.groupSize(), o.groupDemand.heartbeatValue(s.now)
+		if row != nil {
+			size, demand = row.Size, row.Demand[name]
+		}
+		even := float64(size) / float64(max(totalSize, size, 1))
+		return evenFraction*even + (1-evenFraction)*(demand+uncertainDemand*even)/(totalDemand+uncertainDemand)
+	}
+	own := s.Group()
+	target := targetOf(s.group.shares.rows[own])
 	free, othersDesiredGrowth := 1-o.held, 0.0
-	for other, peer := range s.membership.members {
-		if other != s.config.Instance {
-			free -= peer.LimitShares[name]
-			othersDesiredGrowth += max(s.membership.targetShare(peer, name, totalDemand)-peer.LimitShares[name], 0)
+	for group, row := range s.group.shares.rows {
+		if group != own {
+			free -= row.Shares[name]
+			othersDesiredGrowth += max(targetOf(row)-row.Shares[name], 0)
 		}
 	}
 	if shortfall := othersDesiredGrowth - max(free, 0); target < o.held && shortfall > 0 {
 		o.held = max(target, o.held-shortfall)
 		s.applyShare(name, o)
 	}
-	current := max(o.held, float64(o.window.Spent(now)/fleetLimit))
-	if s.membership.firstVersion == 0 && s.membership.predecessor == nil {
-		return roundUpShare(current)
+	if !s.group.shares.hasReadBack {
+		return roundUpShare(o.held)
 	}
 	// All grow at the same time, so each claims a fraction of the free share in proportion to its desired growth.
-	desiredGrowth := max(target-current, 0)
+	desiredGrowth := max(target-o.held, 0)
 	if growth := min(desiredGrowth, free*desiredGrowth/max(desiredGrowth+othersDesiredGrowth, minShareGrowth)); growth > minShareGrowth {
-		return roundUpShare(current + growth)
+		return roundUpShare(o.held + growth)
 	}
-	return roundUpShare(current)
+	return roundUpShare(o.held)
 }
 
 func roundUpShare(share float64) float64 { return math.Ceil(share*shareScale) / shareScale }
 
-// confirmClaims applies the claims that the store has accepted and that fit the shares of all others.
-func (s *State) confirmClaims() {
-	own := s.membership.members[s.config.Instance]
-	if own == nil || own.StartTime != s.membership.startTime {
-		return
+// handleGroupsRead applies a read of the rows of all groups.
+func (s *State) handleGroupsRead(rows []GroupRow) {
+	g := &s.group.shares
+	elapsed := min(s.now.Sub(g.readAt), maxSilencePerRead)
+	if g.readAt.IsZero() {
+		elapsed = 0
 	}
-	for name, o := range s.organisations {
-		config := s.configuration.Organisations[name]
-		if config.Rate <= 0 || o.claim <= o.held || own.LimitShares[name] < o.claim {
-			continue
+	g.readAt = s.now
+	own := s.Group()
+	isOwnRenewed := slices.ContainsFunc(rows, func(r GroupRow) bool {
+		return r.Group == own && (g.rows[own] == nil || g.rows[own].Version != r.Version)
+	})
+	previous := g.rows
+	g.rows = make(map[id.Group]*groupRecord, len(rows))
+	for _, r := range rows {
+		record := &groupRecord{GroupRow: r}
+		if known := previous[r.Group]; known != nil && known.Version == r.Version {
+			record.silence = known.silence
+			if isOwnRenewed {
+				record.silence += elapsed
+			}
 		}
-		if s.membership.totalShares(name) <= 1+shareTolerance {
-			o.held = o.claim
-			s.applyShare(name, o)
+		if record.silence <= groupRemovalTimeout || r.Group == own {
+			g.rows[r.Group] = record
 		}
 	}
+	if !s.IsCoordinator() {
+		return
+	}
+	row := g.rows[own]
+	switch {
+	case row == nil:
+	case row.Writer == s.config.Instance && row.StartTime == s.config.StartTime:
+		g.hasReadBack = true
+		s.confirmClaims(row)
+	default:
+		s.takeOverShares(row)
+	}
+	g.hasRead = true
 }
 
-// LacksShares reports whether this instance holds no share of some organisation's limit.
-func (s *State) LacksShares() bool {
+// takeOverShares continues with the shares of the group's previous coordinator. Its last row may contain a claim that
+// did not fit and was never applied.
+func (s *State) takeOverShares(row *groupRecord) {
 	for name, o := range s.organisations {
-		if o.held == 0 && s.configuration.Organisations[name].Rate > 0 {
-			return true
-		}
+		o.held = max(row.Shares[name]-max(s.totalShares(name)-1, 0), 0)
+		o.claim = o.held
+		s.applyShare(name, o)
 	}
-	return false
 }
 
-func (s *State) applyShare(name id.Organisation, o *organisation) {
-	fleetLimit := s.config.Bounds.maxPerWindow(s.configuration.Organisations[name])
-	o.window.SetLimit(s.now, id.Tokens(o.held)*fleetLimit, s.config.Bounds.RateWindow)
+// adoptShares takes over the shares that the coordinator reports, for the case that this instance has to coordinate the
+// group while the store is unavailable.
+func (s *State) adoptShares(shares map[id.Organisation]float64) {
+	for name, o := range s.organisations {
+		o.held = shares[name]
+		s.applyShare(name, o)
+	}
 }
 
-// divideLimits divides the fleet-wide limits among the known instances.
-func (s *State) divideLimits() {
+// confirmClaims applies the claims that the store has accepted and that fit the shares of all others.
+func (s *State) confirmClaims(row *groupRecord) {
 	for name, o := range s.organisations {
-		if config := s.configuration.Organisations[name]; config.Rate > 0 {
-			s.restoreOrganisation(name, o)
+		if o.claim > o.held && row.Shares[name] >= o.claim && s.totalShares(name) <= 1+shareTolerance {
+			o.held = o.claim
 			s.applyShare(name, o)
 		}
 	}
-	s.confirmClaims()
-	for name, svc := range s.services {
-		svc.divideLimits(s, s.configuration.Services[name])
-	}
 }
 
-// restoreOrganisation restores the share, the spending and the demand of this process's predecessor.
-func (s *State) restoreOrganisation(name id.Organisation, o *organisation) {
-	predecessor := s.membership.predecessor
-	if o.isRestored || predecessor == nil {
-		return
+// totalShares returns the sum of the shares of an organisation's limit that all groups hold or claim.
+func (s *State) totalShares(name id.Organisation) float64 {
+	var sum float64
+	for _, row := range s.group.shares.rows {
+		sum += row.Shares[name]
 	}
-	o.isRestored = true
-	// The last heartbeat may contain a claim that did not fit and was never applied.
-	o.held = max(predecessor.LimitShares[name]-max(s.membership.totalShares(name)-1, 0), 0)
-	o.claim = o.held
-	s.applyShare(name, o)
-	o.reported = sum(predecessor.SpentBuckets[name])
-	o.window.Restore(s.now, predecessor.SpentBuckets[name], o.unreportedAllowance(o.reported))
-	o.demand = decayingRate{perSecond: predecessor.Demand[name], updatedAt: s.now}
+	return sum
 }
 
-const (
-	// unreportedLimitFraction is the fraction of its limit that an instance may spend after a heartbeat before it
-	// writes another one.
-	unreportedLimitFraction = 0.05
-	// unreportedSpendingFraction is the fraction of the last window's spending that it may spend in addition: what the
-	// usual rate spends between two heartbeats, and a quarter more.
-	unreportedSpendingFraction = 0.5
-)
-
-// unreportedAllowance returns what an instance may spend between a heartbeat that reported the given spending and the
-// next one.
-func (l *limitShare) unreportedAllowance(reported id.Tokens) id.Tokens {
-	return max(min(unreportedSpendingFraction*reported+unreportedLimitFraction*l.window.Limit(),
-		l.window.Limit()-reported), 0)
+// heldShares returns the group's shares of all limits.
+func (s *State) heldShares() map[id.Organisation]float64 {
+	shares := make(map[id.Organisation]float64, len(s.organisations))
+	for name, o := range s.organisations {
+		if o.held > 0 {
+			shares[name] = o.held
+		}
+	}
+	return shares
 }
 
-// SpentBuckets returns what this instance has spent of each limit, for its heartbeat, so that a successor does not
-// spend it again.
-//
-// Until a configuration is known, it is what the predecessor reported.
-func (s *State) SpentBuckets(now time.Time) map[id.Organisation][]id.Tokens {
-	if predecessor := s.predecessorHeartbeat(); predecessor != nil {
-		return predecessor.SpentBuckets
-	}
-	s.isHeartbeatRequested = false
-	spent := make(map[id.Organisation][]id.Tokens, len(s.organisations))
+// applyShares applies the shares of all limits.
+func (s *State) applyShares() {
 	for name, o := range s.organisations {
-		counts := o.window.BucketCounts(now)
-		for i, count := range counts {
-			counts[i] = id.Tokens(math.Ceil(float64(count)))
-		}
-		if len(counts) > 0 {
-			spent[name] = counts
-		}
-		o.reported = sum(counts)
+		s.applyShare(name, o)
 	}
-	return spent
 }
 
-func sum(counts []id.Tokens) id.Tokens {
-	var total id.Tokens
-	for _, c := range counts {
-		total += c
+// applyShare sets the bucket of a limit to what this instance may give out of it.
+func (s *State) applyShare(name id.Organisation, o *organisation) {
+	config := s.configuration.Organisations[name]
+	part := o.held * s.group.fraction
+	rate, depth := config.Rate*id.TokensPerSecond(part), s.config.Bounds.bucketDepth(config)*id.Tokens(part)
+	if s.group.fraction >= minWholeTokenFraction && part > 0 {
+		// A bucket that holds less than a token gives none.
+		depth = max(depth, 1)
 	}
-	return total
+	o.bucket.SetLimit(s.now, rate, depth)
 }
 
-const (
-	// spikeStdDevs is how many standard deviations of random arrivals a spike must exceed; at three, one heartbeat in
-	// some hundred is written early without a spike.
-	spikeStdDevs = 3
-	// maxSpikeFraction bounds that to a fraction of the limit, so that spikes at a few instances stay within the
-	// tolerance.
-	maxSpikeFraction = 0.02
-)
+// minWholeTokenFraction is the fraction of its group's part above which a coordinator may save up a whole token
+// of the smallest limits. Members that are partitioned from each other hold smaller fractions, so that the tokens that
+// they save up together stay within the operator's tolerance.
+const minWholeTokenFraction = 0.2
 
-// unreportedTolerance returns what an instance spends beyond the unreported spending that a successor assumes before it
-// requests a heartbeat: its share of the operator's tolerance beyond the limit, or the variation of random arrivals,
-// which is larger in a fleet of many instances.
-func (s *State) unreportedTolerance(name id.Organisation, o *organisation) id.Tokens {
-	b := s.config.Bounds
-	config := s.configuration.Organisations[name]
-	fleetTolerance := b.RateExcess*(float64(config.Rate)*b.RateWindow.Seconds()+float64(config.Burst)) +
-		b.RateSlack*(1-slackFraction)
-	tolerance := fleetTolerance / float64(s.membership.count())
-	variation := min(spikeStdDevs*math.Sqrt(float64(o.reported)+1), maxSpikeFraction*float64(b.maxPerWindow(config)))
-	return id.Tokens(max(tolerance, variation))
+// restoreShares applies the shares of the last read to a configuration that was read after it.
+func (s *State) restoreShares() {
+	if row := s.group.shares.rows[s.Group()]; row != nil && !s.group.shares.hasReadBack && s.IsCoordinator() {
+		s.takeOverShares(row)
+		return
+	}
+	s.applyShares()
 }
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"bluebellhold/allotment"
 	"bluebellhold/id"
 )
 
@@ -45,10 +48,10 @@
 	requests      map[id.Request]*request
 	crashDetector crashDetector
 	isStopping    bool
-	// needsHeartbeat requests an early heartbeat after the current event, and isHeartbeatRequested is set until it is
-	// written.
-	needsHeartbeat, isHeartbeatRequested bool
-	counts                               Counts
+	group         group
+	// tokenWaiters are the organisations with requests that wait for a token, or with unanswered requests for tokens.
+	tokenWaiters map[id.Organisation]bool
+	counts       Counts
 
 	effects []Effect
 }
@@ -56,10 +59,15 @@
 // organisation is the state of one organisation.
 type organisation struct {
 	limitShare
-	// demand is the rate of requests, whether they are admitted or not.
-	demand decayingRate
-	// isRestored is set once the state of a predecessor has been restored.
-	isRestored bool
+	// bucket holds the tokens that this instance gives out as a coordinator, and stock those that it was granted as a
+	// member.
+	bucket allotment.TokenBucket
+	stock  tokenStock
+	// demand is the rate of requests at this instance, whether they are admitted or not, and groupDemand that of the
+	// requests at its members and itself as a coordinator.
+	demand, groupDemand decayingRate
+	// retryAt is when the next refused request should be retried.
+	retryAt time.Time
 }
 
 // Counts are totals since the start of the process.
@@ -83,6 +91,8 @@
 		splits:        make(map[id.Route]*trafficSplit),
 		requests:      make(map[id.Request]*request),
 		crashDetector: newCrashDetector(),
+		group:         newGroup(),
+		tokenWaiters:  make(map[id.Organisation]bool),
 	}
 }
 
@@ -92,6 +102,7 @@
 func (s *State) Reduce(now time.Time, e Event) []Effect {
 	s.now = now
 	s.effects = s.effects[:0]
+	s.start()
 	switch e := e.(type) {
 	case RequestArrived:
 		s.handleRequestArrived(e)
@@ -111,22 +122,60 @@
 		s.setEvacuated(e.DataCentres)
 	case MembersRead:
 		s.updateMembers(e.Members)
+	case GroupsRead:
+		s.handleGroupsRead(e.Groups)
+	case MessageReceived:
+		s.handleMessage(e.From, e.Message)
+	case Suspended:
+		s.suspend()
 	case StopRequested:
-		s.isStopping = true
-	}
-	if s.needsHeartbeat {
-		s.needsHeartbeat = false
-		s.emit(WriteHeartbeat{})
+		s.stop()
 	}
 	return s.effects
 }
 
+// start sets the origin of the instance's clock.
+//
+// The part of the limits of a restarted process is free at once. If its predecessor lent it, it did so to the same
+// coordinator, which counts it once, unless that one has died or been partitioned from this instance meanwhile.
+func (s *State) start() {
+	if s.group.startedAt.IsZero() {
+		s.group.startedAt, s.membership.startedAt = s.now, s.now
+	}
+}
+
+// handleMessage handles a message of another instance. Messages are input from outside: those that make no sense
+// change nothing.
+func (s *State) handleMessage(from id.Instance, m PeerMessage) {
+	switch m := m.(type) {
+	case MemberReport:
+		s.handleReport(from, m)
+	case CoordinatorBeat:
+		s.handleBeat(from, m)
+	case TokenRequest:
+		s.handleTokenRequest(from, m)
+	case TokenGrant:
+		s.handleTokenGrant(from, m)
+	}
+}
+
+// stop ends the coordination of the group: the parts that the members lent are given out no more, and the beats that
+// say so let the members lend them to another coordinator at once.
+func (s *State) stop() {
+	s.isStopping = true
+	for name, l := range s.group.lenders {
+		l.lendsUntil = time.Time{}
+		s.emit(Send{To: name, Message: CoordinatorBeat{Stamp: s.stamp(), Echo: l.stamp, Leaving: true}})
+	}
+	s.updateFraction()
+}
+
 // IsReady reports whether the instance can serve callers.
 func (s *State) IsReady() bool {
-	return s.isConfigured && s.hasUpstreams && s.membership.isJoined && !s.isStopping
+	return s.isConfigured && s.hasUpstreams && s.membership.isJoined && s.group.coordinator != "" && !s.isStopping
 }
 
-// HasJoined reports whether all serving instances divide the limits with this one.
+// HasJoined reports whether all serving instances divide the fleet-wide bounds with this one.
 func (s *State) HasJoined() bool { return s.membership.isJoined }
 
 // diagnostics returns the state that a decision about the request is based on.
@@ -136,7 +185,7 @@
 		d.Route = r.route.ID
 	}
 	if o := s.organisations[r.organisation]; o != nil {
-		d.Spent, d.Limit = o.window.Spent(s.now), o.window.Limit()
+		d.Coordinator, d.Share, d.Tokens = s.group.coordinator, o.held, o.bucket.Level(s.now)
 	}
 	if r.service == nil {
 		return d
@@ -168,9 +217,9 @@
 }
 
 func (s *State) configureOrganisations() {
-	for name := range s.organisations {
+	for _, name := range slices.Sorted(maps.Keys(s.organisations)) {
 		if _, ok := s.configuration.Organisations[name]; !ok {
-			delete(s.organisations, name)
+			s.removeOrganisation(name)
 		}
 	}
 	for name := range s.configuration.Organisations {
@@ -178,9 +227,21 @@
 			s.organisations[name] = &organisation{}
 		}
 	}
+	s.restoreShares()
 	s.divideLimits()
 }
 
+// removeOrganisation removes an organisation and refuses its requests that wait for a token.
+func (s *State) removeOrganisation(name id.Organisation) {
+	waiting := s.organisations[name].stock.waiting
+	delete(s.organisations, name)
+	for _, w := range waiting {
+		if r := s.requests[w.request]; r != nil {
+			s.refuse(r, Refusal{Code: CodeInvalidKey})
+		}
+	}
+}
+
 // setUpstreams replaces the list of upstreams.
 func (s *State) setUpstreams(upstreams []Upstream) {
 	s.hasUpstreams, s.upstreamsChangedAt = true, s.now
@@ -209,8 +270,10 @@
 	s.dispatchAllQueued()
 }
 
-// handleTick refuses expired requests and dispatches queued ones.
+// handleTick reports to the contacts, refuses expired requests and dispatches queued ones.
 func (s *State) handleTick() {
+	s.sendReports()
+	s.expireTokens()
 	for _, name := range s.serviceNames {
 		svc := s.services[name]
 		for _, queued := range svc.queue.RemoveExpired(s.now) {
@@ -222,16 +285,23 @@
 	s.dispatchAllQueued()
 }
 
-// NextTick returns when the next Tick is due, or zero if none is.
+// NextTick returns when the next Tick is due.
 func (s *State) NextTick(now time.Time) time.Time {
 	for _, name := range s.serviceNames {
 		if s.services[name].queue.Len() > 0 {
 			return now.Add(queuePollInterval)
 		}
 	}
-	return time.Time{}
+	next := later(s.group.nextReportAt, now)
+	if len(s.tokenWaiters) > 0 {
+		return earlier(next, now.Add(tokenPollInterval))
+	}
+	return next
 }
 
 // queuePollInterval is the interval at which queued requests are tried besides after each ended attempt, since capacity
 // also becomes available when requests of other instances end.
 const queuePollInterval = 10 * time.Millisecond
+
+// tokenPollInterval is the interval at which requests that wait for a token are checked.
+const tokenPollInterval = 50 * time.Millisecond
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -25,7 +25,9 @@
 	ReadinessAddress string
 	LookupAddress    string
 	MetricsAddress   string
-	Bounds           entry.Bounds
+	// PeerAddress is the address to listen on for sessions with other instances.
+	PeerAddress string
+	Bounds      entry.Bounds
 	// MemoryLimit is the memory that the process may use.
 	MemoryLimit id.Bytes
 	Feed        store.ChangeFeed
@@ -51,8 +53,11 @@
 type Tables struct {
 	Operator  string
 	Upstreams string
-	// Members holds the heartbeats of the instances.
+	// Members holds the heartbeats of the instances, and Groups the shares of the limits that their groups hold.
 	Members string
+	Groups  string
+	// Secrets holds the secret with which instances prove that they belong to the fleet.
+	Secrets string
 }
 
 // CallerHeaders holds the values from the headers of a caller's request.
--- a/internal/ingress/follower.go
+++ b/internal/ingress/follower.go
@@ -41,13 +41,11 @@
 
 // follower passes changes in the store to an instance and writes the instance's heartbeats.
 //
-// Each of its three polling goroutines has its own fields: that of the operator's rows uses evacuations, that of the
-// upstreams' rows the fields from knownUpstreams to recoveredAt, and that of the heartbeats the rest.
+// Each of its polling goroutines has its own fields: that of the operator's rows uses evacuations, that of the upstreams'
+// rows the fields from knownUpstreams to recoveredAt, that of the heartbeats knownMembers and hasReadHeartbeats, and that
+// of the groups' rows the rest.
 type follower struct {
 	*Instance
-	operatorRows  *store.Mirror
-	upstreamRows  *store.Mirror
-	heartbeatRows *store.Mirror
 
 	evacuations       map[string]id.DataCentre
 	knownUpstreams    map[string]entry.Upstream
@@ -56,104 +54,177 @@
 	recoveredAt       time.Time
 	knownMembers      map[string]entry.Member
 	hasReadHeartbeats bool
+	groupRows         *store.Mirror
 }
 
 func newFollower(i *Instance) *follower {
 	return &follower{
 		Instance:        i,
-		operatorRows:    store.NewMirror(i.config.Feed, i.config.Tables.Operator),
-		upstreamRows:    store.NewMirror(i.config.Feed, i.config.Tables.Upstreams),
-		heartbeatRows:   store.NewMirror(i.config.Feed, i.config.Tables.Members),
 		evacuations:     make(map[string]id.DataCentre),
 		knownUpstreams:  make(map[string]entry.Upstream),
 		pendingRemovals: make(map[string]time.Time),
 		knownMembers:    make(map[string]entry.Member),
+		groupRows:       store.NewMirror(i.config.Feed, i.config.Tables.Groups),
 	}
 }
 
 func (f *follower) start(ctx context.Context) {
-	immediately := func(startedAt time.Time) time.Time { return startedAt }
-	f.poll(ctx, "operator", nil, immediately, f.readOperator)
-	f.poll(ctx, "upstreams", nil, f.nextUpstreamPoll, f.readUpstreams)
-	f.poll(ctx, "members", f.heartbeatRequested, f.nextHeartbeat, f.heartbeat)
+	operator, upstreams := f.tables[f.config.Tables.Operator], f.tables[f.config.Tables.Upstreams]
+	f.follow(ctx, operator, followedTable{
+		read: f.readOperator, apply: f.applyOperatorChanges,
+		interval: func() time.Duration { return 0 }, maxAge: f.upstreamPollInterval() + relayMargin,
+	})
+	f.follow(ctx, upstreams, followedTable{
+		read: f.readUpstreams, apply: f.applyUpstreamChanges,
+		interval: f.upstreamPollInterval, maxAge: f.upstreamPollInterval() + relayMargin, confirms: operator,
+	})
+	f.follow(ctx, f.tables[f.config.Tables.Members], followedTable{
+		read: f.heartbeat, apply: f.applyHeartbeatChanges, trigger: f.heartbeatRequested,
+		interval: f.heartbeatPause, maxAge: heartbeatInterval + relayMargin,
+	})
+	f.goroutines.Go(func() { f.coordinateGroup(ctx) })
+	f.goroutines.Go(func() { f.openSessions(ctx) })
 }
 
-// nextUpstreamPoll returns when the upstreams' rows are read next after a read that started at startedAt: in time to
-// notice drains, and no later than the next pending removal.
-func (f *follower) nextUpstreamPoll(startedAt time.Time) time.Time {
+// upstreamPollInterval returns the time between two reads of the upstreams' rows: in time to notice drains, and no
+// later than the next pending removal.
+func (f *follower) upstreamPollInterval() time.Duration {
 	interval := time.Duration(upstreamPollFraction * float64(f.config.Bounds.MaxDrainDelay))
-	next := startedAt.Add(min(max(interval, minUpstreamPollInterval), maxUpstreamPollInterval))
+	interval = min(max(interval, minUpstreamPollInterval), maxUpstreamPollInterval)
 	for _, removeAt := range f.pendingRemovals {
-		if removeAt.Before(next) {
-			next = removeAt
-		}
+		interval = min(interval, max(time.Until(removeAt), 0))
 	}
-	return next
+	return interval
 }
 
-func (f *follower) lacksShares() bool {
+// heartbeatPause returns the time between two heartbeats. It is shorter while the instance has not joined, which it does
+// once the others have read its heartbeat.
+func (f *follower) heartbeatPause() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.LacksShares()
+	if !f.state.HasJoined() {
+		return minHeartbeatInterval
+	}
+	return heartbeatInterval
+}
+
+// followedTable is how one table is followed.
+type followedTable struct {
+	// read reads the table from the store and returns the relevant changes.
+	read func(context.Context) ([]store.Change, error)
+	// apply applies relayed changes and returns the relevant ones.
+	apply func([]store.Change) []store.Change
+	// interval is the time between the starts of two reads, and maxAge the age of a relayed view above which the store
+	// is read.
+	interval func() time.Duration
+	maxAge   time.Duration
+	// confirms is a table whose reads wait for changes; a read of this table shows that the store would have answered.
+	confirms *relayedTable
+	// trigger causes a read ahead of schedule; nil means never.
+	trigger <-chan struct{}
 }
 
-// nextHeartbeat returns when the next heartbeat is due. The interval is shorter while the instance has not joined,
-// which it does once the others have read its heartbeat, or lacks shares.
-func (f *follower) nextHeartbeat(startedAt time.Time) time.Time {
+// needsOwnReads reports whether this instance has to read the table even while the coordinator relays it.
+func (f *follower) needsOwnReads(t *relayedTable) bool {
+	if t.name != f.config.Tables.Members {
+		return false
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.state.HasJoined() || f.state.LacksShares() {
-		return startedAt.Add(minHeartbeatInterval)
+	return f.state.NeedsHeartbeat()
+}
+
+// followerPause is how long a member waits for the coordinator's answer to a request for rows before it reads the store.
+const followerPause = 600 * time.Millisecond
+
+// nextRead returns when a table is read next. startedAt is when the last read started.
+func (f *follower) nextRead(t *relayedTable, p followedTable, startedAt time.Time) time.Time {
+	next := startedAt.Add(p.interval())
+	if f.relaySource() == "" || f.needsOwnReads(t) {
+		return next
 	}
-	return startedAt.Add(heartbeatInterval)
+	return later(next, t.freshAt.Add(p.maxAge))
 }
 
-// poll starts a goroutine that calls read at the time that next returns, earlier when triggered, and after retryDelay
-// on failure. It logs the start and the end of an outage of the store.
-func (f *follower) poll(
-	ctx context.Context, name string, trigger <-chan struct{}, next func(startedAt time.Time) time.Time,
-	read func(context.Context) error,
-) {
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
+// follow starts a goroutine that keeps a table up to date: it applies what the coordinator relays, reads the store when
+// that is too old or this instance has to read it itself, and relays to the members what it got. It logs the start and
+// the end of an outage of the store.
+func (f *follower) follow(ctx context.Context, t *relayedTable, p followedTable) {
 	f.goroutines.Go(func() {
-		var outageStart time.Time
+		var startedAt, outageStart, notBefore time.Time
 		for ctx.Err() == nil {
-			startedAt := time.Now()
-			err := read(ctx)
-			delay := time.Until(next(startedAt))
-			switch {
-			case ctx.Err() != nil:
-				return
-			case err != nil && outageStart.IsZero():
-				outageStart = startedAt
-				f.log.Warn("store: lost", "part", name, "error", err)
-				delay = retryDelay
-			case err != nil:
-				delay = retryDelay
-			case !outageStart.IsZero():
-				f.log.Info("store: recovered", "part", name, "outage", time.Since(outageStart))
-				outageStart = time.Time{}
-			}
+			timer := time.NewTimer(time.Until(later(f.nextRead(t, p, startedAt), notBefore)))
 			select {
-			case <-time.After(max(delay, 0)):
-			case <-trigger:
+			case u := <-t.updates:
+				f.applyUpdate(t, u, p.apply)
+			case <-t.changed:
+				f.requestRows(t)
+				notBefore = time.Now()
+				if f.relaySource() != "" {
+					// The view may be older than maxAge already; the new coordinator gets some time to refresh it.
+					notBefore = notBefore.Add(followerPause)
+				}
+			case <-p.trigger:
 				time.Sleep(time.Until(startedAt.Add(minHeartbeatInterval)))
+				startedAt = time.Time{}
+				notBefore = time.Time{}
+			case <-timer.C:
+				startedAt = time.Now()
+				relevant, err := p.read(ctx)
+				switch {
+				case ctx.Err() != nil:
+				case err != nil:
+					if outageStart.IsZero() {
+						outageStart = startedAt
+						f.log.Warn("store: lost", "part", t.name, "error", err)
+					}
+					startedAt, notBefore = time.Time{}, time.Now().Add(retryDelay)
+					f.dismissFollowers(t)
+				default:
+					if !outageStart.IsZero() {
+						f.log.Info("store: recovered", "part", t.name, "outage", time.Since(outageStart))
+						outageStart = time.Time{}
+					}
+					t.freshAt, notBefore = later(t.freshAt, startedAt), time.Time{}
+					t.recordRead(startedAt, relevant)
+					f.publish(t)
+					f.requestRows(t)
+					if p.confirms != nil {
+						p.confirms.confirm(startedAt)
+						f.publish(p.confirms)
+					}
+				}
 			case <-ctx.Done():
 			}
+			timer.Stop()
 		}
 	})
 }
 
 // readOperator waits for changes of the operator's rows and posts them as events.
-func (f *follower) readOperator(ctx context.Context) error {
-	isFirst := len(f.operatorRows.Rows()) == 0
-	changes, err := f.operatorRows.Refresh(ctx, operatorMaxWait)
+func (f *follower) readOperator(ctx context.Context) ([]store.Change, error) {
+	rows := f.tables[f.config.Tables.Operator].mirror
+	isFirst := len(rows.Rows()) == 0
+	changes, err := rows.Refresh(ctx, operatorMaxWait)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if isFirst && len(changes) == 0 {
 		// A first read returns at once even if the table is empty.
 		time.Sleep(retryDelay)
 	}
+	return f.applyOperatorChanges(changes), nil
+}
+
+// applyOperatorChanges posts changes of the operator's rows as events. All are relevant.
+func (f *follower) applyOperatorChanges(changes []store.Change) []store.Change {
 	hasChanged := false
 	for _, change := range changes {
 		if change.Deleted {
@@ -171,9 +242,6 @@
 		case Document:
 			f.Post(entry.ConfigurationChanged(row))
 			f.log.Info("operator: configuration", "version", row.Configuration.Version)
-			if f.lacksShares() {
-				f.requestHeartbeat()
-			}
 		case Evacuation:
 			f.evacuations[change.Name] = row.DataCentre
 			hasChanged = true
@@ -187,15 +255,21 @@
 		f.Post(entry.EvacuationsChanged{DataCentres: list})
 		f.log.Info("operator: evacuations", "datacentres", list)
 	}
-	return nil
+	return changes
 }
 
-// readUpstreams reads the changes of the upstreams' rows and posts the list if it has changed.
-func (f *follower) readUpstreams(ctx context.Context) error {
-	changes, err := f.upstreamRows.Refresh(ctx, 0)
+// readUpstreams reads the changes of the upstreams' rows.
+func (f *follower) readUpstreams(ctx context.Context) ([]store.Change, error) {
+	changes, err := f.tables[f.config.Tables.Upstreams].mirror.Refresh(ctx, 0)
 	if err != nil {
-		return err
+		return nil, err
 	}
+	return f.applyUpstreamChanges(changes), nil
+}
+
+// applyUpstreamChanges applies changes of the upstreams' rows, posts the list if it has changed, and returns the changes
+// that matter to members: not those of rows that an upstream has only renewed.
+func (f *follower) applyUpstreamChanges(changes []store.Change) []store.Change {
 	now := time.Now()
 	if !f.upstreamsReadAt.IsZero() && now.Sub(f.upstreamsReadAt) > outageThreshold {
 		f.recoveredAt = now
@@ -203,8 +277,13 @@
 	isFirst := f.upstreamsReadAt.IsZero()
 	f.upstreamsReadAt = now
 	hasChanged := isFirst
+	var relevant []store.Change
 	for _, change := range changes {
-		hasChanged = f.applyUpstreamChange(now, change) || hasChanged
+		isChange := f.applyUpstreamChange(now, change)
+		hasChanged = isChange || hasChanged
+		if isChange || change.Deleted {
+			relevant = append(relevant, change)
+		}
 	}
 	for name, removeAt := range f.pendingRemovals {
 		if !now.Before(removeAt) {
@@ -220,7 +299,7 @@
 		}
 		f.Post(entry.UpstreamsChanged{Upstreams: list})
 	}
-	return nil
+	return relevant
 }
 
 // applyUpstreamChange applies the change of one row and reports whether the list of upstreams has changed.
@@ -259,7 +338,7 @@
 // mostRowsNewerThan reports whether more than three quarters of the upstreams' rows were written after the version. The
 // store was then available long enough for a live upstream whose row was removed at the version to write it again.
 func (f *follower) mostRowsNewerThan(version uint64) bool {
-	newer, rows := 0, f.upstreamRows.Rows()
+	newer, rows := 0, f.tables[f.config.Tables.Upstreams].mirror.Rows()
 	for _, row := range rows {
 		if row.Version > version {
 			newer++
@@ -277,41 +356,55 @@
 	return a == b
 }
 
-// heartbeat writes this instance's heartbeat and reads all heartbeats. It repeats both after a conflict, and if new
-// members have appeared.
-func (f *follower) heartbeat(ctx context.Context) error {
+// heartbeat writes this instance's heartbeat unless its coordinator vouches for it, and reads all heartbeats. It repeats
+// both after a conflict, and if new members have appeared.
+func (f *follower) heartbeat(ctx context.Context) ([]store.Change, error) {
 	if !f.hasReadHeartbeats {
 		// The heartbeat of this instance's previous process must be read before it is overwritten.
-		if err := f.readHeartbeats(ctx); err != nil {
-			return err
+		_, err := f.readHeartbeats(ctx)
+		if err != nil {
+			return nil, err
 		}
 		f.hasReadHeartbeats = true
 	}
 	knownCount := len(f.knownMembers)
-	err := f.syncHeartbeats(ctx)
+	changes, err := f.syncHeartbeats(ctx)
 	// A new instance joins once the heartbeats of the others confirm that they have read its own, so new members are
 	// confirmed at once. A conflict means that an earlier write took effect late, after its response was lost.
 	if errors.As(err, new(*store.ConflictError)) || err == nil && len(f.knownMembers) > knownCount {
-		return f.syncHeartbeats(ctx)
+		more, err := f.syncHeartbeats(ctx)
+		return append(changes, more...), err
 	}
-	return err
+	return changes, err
 }
 
-// syncHeartbeats writes this instance's heartbeat and reads all heartbeats even if the write failed.
-func (f *follower) syncHeartbeats(ctx context.Context) error {
-	err := f.writeHeartbeat(ctx, f.isStopping.Load())
-	if readErr := f.readHeartbeats(ctx); readErr != nil {
-		return readErr
+// syncHeartbeats writes this instance's heartbeat if it needs one, and reads all heartbeats even if the write failed.
+func (f *follower) syncHeartbeats(ctx context.Context) ([]store.Change, error) {
+	f.mu.Lock()
+	needsHeartbeat := f.state.NeedsHeartbeat()
+	f.mu.Unlock()
+	var err error
+	if needsHeartbeat {
+		err = f.writeHeartbeat(ctx, f.isStopping.Load())
+	}
+	changes, readErr := f.readHeartbeats(ctx)
+	if readErr != nil {
+		return nil, readErr
 	}
-	return err
+	return changes, err
 }
 
 // readHeartbeats reads the changed heartbeats and posts the list of members.
-func (f *follower) readHeartbeats(ctx context.Context) error {
-	changes, err := f.heartbeatRows.Refresh(ctx, 0)
+func (f *follower) readHeartbeats(ctx context.Context) ([]store.Change, error) {
+	changes, err := f.tables[f.config.Tables.Members].mirror.Refresh(ctx, 0)
 	if err != nil {
-		return err
+		return nil, err
 	}
+	return f.applyHeartbeatChanges(changes), nil
+}
+
+// applyHeartbeatChanges posts the list of members. All changes are relevant.
+func (f *follower) applyHeartbeatChanges(changes []store.Change) []store.Change {
 	for _, change := range changes {
 		f.applyHeartbeatChange(change)
 	}
@@ -320,7 +413,7 @@
 		list = append(list, m)
 	}
 	f.Post(entry.MembersRead{Members: list})
-	return nil
+	return changes
 }
 
 // heartbeatRow is the JSON of an instance's heartbeat in the store.
@@ -328,23 +421,21 @@
 	Address    string        `json:"address"`
 	Region     id.Region     `json:"region"`
 	DataCentre id.DataCentre `json:"datacentre"`
-	Leaving    bool          `json:"leaving,omitempty"`
+	// PeerAddress accepts sessions of other instances.
+	PeerAddress string `json:"peer"`
+	// Vouched are the members that report to the instance and write no heartbeats themselves.
+	Vouched []id.Instance `json:"vouched,omitempty"`
+	Leaving bool          `json:"leaving,omitempty"`
 	// ReadVersion is the version of the heartbeats that the instance read last.
 	ReadVersion uint64 `json:"seen,omitempty"`
 	// StartTime distinguishes processes of the same name, in Unix nanoseconds of the instance's clock.
 	StartTime int64 `json:"started"`
-	// Demand is the rate of callers' requests per second by organisation.
-	Demand map[id.Organisation]float64 `json:"demand,omitempty"`
 	// OfferedLoad is the number of slots that the callers' requests occupy, by service.
 	OfferedLoad map[id.Service]float64 `json:"work,omitempty"`
 	// PinnedLoad is the number of slots by service and by the region that the requests are restricted to.
 	PinnedLoad map[id.Service]map[id.Region]float64 `json:"bound,omitempty"`
 	// LocalShares is the fraction of the objects that are served in the instance's region, by service.
 	LocalShares map[id.Service]float64 `json:"kept,omitempty"`
-	// LimitShares is the share of each organisation's limit that the instance holds or claims.
-	LimitShares map[id.Organisation]float64 `json:"held,omitempty"`
-	// SpentBuckets is what was spent of each limit within the last window, in buckets of equal length, the newest last.
-	SpentBuckets map[id.Organisation][]id.Tokens `json:"spent,omitempty"`
 	// Suspects are requests that were in flight at upstreams that crashed.
 	Suspects []suspectReport `json:"suspects,omitempty"`
 }
@@ -361,9 +452,8 @@
 func (f *follower) writeHeartbeat(ctx context.Context, isLeaving bool) error {
 	f.mu.Lock()
 	now := time.Now()
-	demand, offeredLoad, reports := f.state.Demand(now), f.state.OfferedLoad(now), f.state.Suspects(now)
-	pinnedLoad := f.state.PinnedLoad(now)
-	localShares, limitShares, spentBuckets := f.state.LocalShares(), f.state.LimitShares(now), f.state.SpentBuckets(now)
+	offeredLoad, pinnedLoad, reports := f.state.OfferedLoad(now), f.state.PinnedLoad(now), f.state.Suspects(now)
+	localShares, vouched := f.state.LocalShares(), f.state.Vouched()
 	f.mu.Unlock()
 	var suspects []suspectReport
 	for _, r := range reports {
@@ -371,17 +461,18 @@
 			Digest: r.Digest, Upstreams: r.Upstreams, AgeMillis: r.Age.Milliseconds(),
 		})
 	}
+	rows := f.tables[f.config.Tables.Members].mirror
 	value, err := json.Marshal(heartbeatRow{
-		Address: f.config.CallerAddress, Region: f.config.Region, DataCentre: f.config.DataCentre, Leaving: isLeaving,
-		ReadVersion: f.heartbeatRows.Version(), StartTime: f.startTime, Demand: demand, OfferedLoad: offeredLoad,
-		PinnedLoad: pinnedLoad, LocalShares: localShares, LimitShares: limitShares, SpentBuckets: spentBuckets,
+		Address: f.config.CallerAddress, Region: f.config.Region, DataCentre: f.config.DataCentre,
+		PeerAddress: f.config.PeerAddress, Vouched: vouched, Leaving: isLeaving, ReadVersion: rows.Version(),
+		StartTime: f.startTime, OfferedLoad: offeredLoad, PinnedLoad: pinnedLoad, LocalShares: localShares,
 		Suspects: suspects,
 	})
 	if err != nil {
 		return err
 	}
 	name := string(f.config.Instance)
-	return f.config.Feed.Put(ctx, f.config.Tables.Members, name, value, f.heartbeatRows.RowVersion(name))
+	return f.config.Feed.Put(ctx, f.config.Tables.Members, name, value, rows.RowVersion(name))
 }
 
 func (f *follower) applyHeartbeatChange(change store.Change) {
@@ -402,9 +493,9 @@
 	}
 	f.knownMembers[change.Name] = entry.Member{
 		Instance: id.Instance(change.Name), Region: heartbeat.Region, DataCentre: heartbeat.DataCentre,
-		Address: heartbeat.Address, Leaving: heartbeat.Leaving, Version: change.Version, ReadVersion: heartbeat.ReadVersion,
-		StartTime: heartbeat.StartTime, Demand: heartbeat.Demand, OfferedLoad: heartbeat.OfferedLoad,
-		PinnedLoad: heartbeat.PinnedLoad, LocalShares: heartbeat.LocalShares, LimitShares: heartbeat.LimitShares,
-		SpentBuckets: heartbeat.SpentBuckets, Suspects: suspects,
+		Address: heartbeat.Address, PeerAddress: heartbeat.PeerAddress, Vouched: heartbeat.Vouched,
+		Leaving: heartbeat.Leaving, Version: change.Version, ReadVersion: heartbeat.ReadVersion,
+		StartTime: heartbeat.StartTime, OfferedLoad: heartbeat.OfferedLoad, PinnedLoad: heartbeat.PinnedLoad,
+		LocalShares: heartbeat.LocalShares, Suspects: suspects,
 	}
 }
--- a/internal/ingress/instance.go
+++ b/internal/ingress/instance.go
@@ -33,17 +33,24 @@
 type Instance struct {
 	config        Config
 	startTime     int64
+	startedAt     time.Time
 	log           *log.Logger
 	registry      metrics.Registry
 	callerMetrics callerMetrics
 	requestLog    *requestLog
 
-	// mu guards the fields up to nextTickAt, and abortAttempt and cancelled of each exchange.
+	// tables are the followed tables of the store by name.
+	tables   map[string]*relayedTable
+	sessions sessions
+
+	// mu guards the fields up to clockOffset, and abortAttempt and cancelled of each exchange.
 	mu         sync.Mutex
 	state      *entry.State
 	exchanges  map[id.Request]*exchange
 	timer      *time.Timer
 	nextTickAt time.Time
+	// clockOffset is how far the time of day has moved against the steady clock since the start.
+	clockOffset time.Duration
 
 	pool          *pool
 	lastRequestID atomic.Uint64
@@ -63,9 +70,11 @@
 	if c.Registry == nil {
 		c.Registry = metrics.NewRegistry()
 	}
-	startTime := time.Now().UnixNano()
+	startedAt := time.Now()
+	startTime := startedAt.UnixNano()
 	i := &Instance{
 		startTime:     startTime,
+		startedAt:     startedAt,
 		config:        c,
 		log:           c.Log,
 		registry:      c.Registry,
@@ -79,6 +88,10 @@
 		pool:               newPool(),
 		callerConnections:  newCallerConnections(),
 		heartbeatRequested: make(chan struct{}, 1),
+		tables:             make(map[string]*relayedTable),
+	}
+	for _, name := range []string{c.Tables.Operator, c.Tables.Upstreams, c.Tables.Members} {
+		i.tables[name] = newRelayedTable(c.Feed, name)
 	}
 	i.timer = time.AfterFunc(time.Hour, i.tick)
 	return i, i.listen()
@@ -137,11 +150,13 @@
 	f := newFollower(i)
 	f.start(followCtx)
 	i.goroutines.Go(func() { i.logSummaries(followCtx) })
+	i.tick()
 	i.log.Info("instance: started", "instance", i.config.Instance, "callers", i.config.CallerAddress)
 	<-ctx.Done()
 	i.log.Info("instance: stopping")
 	i.stop()
 	stopFollowing()
+	i.sessions.close()
 	i.close()
 	i.goroutines.Wait()
 	i.requestLog.close()
@@ -221,16 +236,49 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := time.Now()
+	if i.hasMissedTime(now) {
+		i.log.Warn("instance: suspended, or the time of day was set")
+		i.reduce(now, entry.Suspended{})
+	}
+	i.reduce(now, e)
+	i.scheduleTick(now)
+}
+
+// reduce passes an event to the reducer and applies the effects. The caller holds mu.
+func (i *Instance) reduce(now time.Time, e entry.Event) {
 	for _, effect := range i.state.Reduce(now, e) {
 		i.applyEffect(effect)
 	}
-	i.scheduleTick(now)
 }
 
-// applyEffect passes an effect to the exchange that it belongs to. The caller holds mu.
+// maxClockStep is the change of the time of day against the steady clock above which the process may have been
+// suspended, which the steady clock does not count. Corrections of a running clock are far smaller.
+const maxClockStep = 250 * time.Millisecond
+
+// hasMissedTime reports whether the time of day has moved against the steady clock since the last call. The caller
+// holds mu.
+func (i *Instance) hasMissedTime(now time.Time) bool {
+	offset := now.Round(0).Sub(i.startedAt.Round(0)) - now.Sub(i.startedAt)
+	if step := offset - i.clockOffset; step.Abs() < maxClockStep {
+		return false
+	}
+	i.clockOffset = offset
+	return true
+}
+
+// applyEffect executes an effect that concerns other instances, or passes it to the exchange that it belongs to. The
+// caller holds mu.
 func (i *Instance) applyEffect(effect entry.Effect) {
-	if _, ok := effect.(entry.WriteHeartbeat); ok {
-		i.requestHeartbeat()
+	switch e := effect.(type) {
+	case entry.Send:
+		i.sessions.send(e.To, encodeMessage(e.Message))
+		return
+	case entry.SetContacts:
+		i.sessions.setContacts(e.Contacts)
+		return
+	case entry.CoordinatorChanged:
+		i.log.Info("group: coordinator changed", "from", e.Previous, "to", e.Current, "members", e.Members)
+		i.wakeTables()
 		return
 	}
 	e, ok := effect.(entry.RequestEffect)
--- /dev/null
+++ b/internal/ingress/message.go
@@ -0,0 +1,157 @@
+package ingress
+
+import (
+	"time"
+
+	"bluebellhold/id"
+	"bluebellhold/internal/entry"
+	"bluebellhold/internal/wire"
+	"bluebellhold/retry"
+)
+
+// encodeMessage returns the message to another instance on the wire.
+func encodeMessage(m entry.PeerMessage) *wire.Envelope {
+	switch m := m.(type) {
+	case entry.MemberReport:
+		return &wire.Envelope{Payload: &wire.Envelope_MemberReport{MemberReport: &wire.MemberReport{
+			Stamp: int64(m.Stamp), Echo: int64(m.Echo), Lends: m.Lends,
+			Loads: encodeLoads(m.OfferedLoad, m.PinnedLoad), Suspects: encodeSuspects(m.Suspects),
+		}}}
+	case entry.CoordinatorBeat:
+		beat := &wire.CoordinatorBeat{
+			Stamp: int64(m.Stamp), Echo: int64(m.Echo), Leaving: m.Leaving, Suspects: encodeSuspects(m.Suspects),
+		}
+		for name, share := range m.Shares {
+			beat.Shares = append(beat.Shares, &wire.Share{Name: string(name), Share: share})
+		}
+		for name, share := range m.LocalShares {
+			beat.Local = append(beat.Local, &wire.Share{Name: string(name), Share: share})
+		}
+		return &wire.Envelope{Payload: &wire.Envelope_CoordinatorBeat{CoordinatorBeat: beat}}
+	case entry.TokenRequest:
+		return &wire.Envelope{Payload: &wire.Envelope_TokenRequest{TokenRequest: &wire.TokenRequest{
+			Sequence: m.Sequence, Organisation: string(m.Organisation), Tokens: uint32(m.Tokens),
+			Arrivals: uint32(m.Arrivals), Returned: uint32(m.Returned),
+		}}}
+	case entry.TokenGrant:
+		return &wire.Envelope{Payload: &wire.Envelope_TokenGrant{TokenGrant: &wire.TokenGrant{
+			Sequence: m.Sequence, Organisation: string(m.Organisation), Tokens: uint32(m.Tokens),
+			Retryafter: int64(m.RetryAfter),
+		}}}
+	}
+	return nil
+}
+
+// decodeMessage returns a message of another instance, or nil if its type is none of those for the reducer.
+func decodeMessage(m *wire.Envelope) entry.PeerMessage {
+	switch payload := m.GetPayload().(type) {
+	case *wire.Envelope_MemberReport:
+		return decodeReport(payload.MemberReport)
+	case *wire.Envelope_CoordinatorBeat:
+		return decodeBeat(payload.CoordinatorBeat)
+	case *wire.Envelope_TokenRequest:
+		r := payload.TokenRequest
+		return entry.TokenRequest{
+			Sequence: r.GetSequence(), Organisation: id.Organisation(r.GetOrganisation()), Tokens: int(r.GetTokens()),
+			Arrivals: int(r.GetArrivals()), Returned: int(r.GetReturned()),
+		}
+	case *wire.Envelope_TokenGrant:
+		g := payload.TokenGrant
+		return entry.TokenGrant{
+			Sequence: g.GetSequence(), Organisation: id.Organisation(g.GetOrganisation()), Tokens: int(g.GetTokens()),
+			RetryAfter: time.Duration(g.GetRetryafter()),
+		}
+	}
+	return nil
+}
+
+func decodeReport(r *wire.MemberReport) entry.MemberReport {
+	report := entry.MemberReport{
+		Stamp: entry.Stamp(r.GetStamp()), Echo: entry.Stamp(r.GetEcho()), Lends: r.GetLends(),
+		OfferedLoad: make(map[id.Service]float64), PinnedLoad: make(map[id.Service]map[id.Region]float64),
+		Suspects: decodeSuspects(r.GetSuspects()),
+	}
+	for _, l := range r.GetLoads() {
+		service, slots := id.Service(l.GetService()), l.GetSlots()
+		if !(slots >= 0 && slots <= maxOfferedSlots) {
+			continue
+		}
+		if l.GetRegion() == "" {
+			report.OfferedLoad[service] = slots
+			continue
+		}
+		if report.PinnedLoad[service] == nil {
+			report.PinnedLoad[service] = make(map[id.Region]float64)
+		}
+		report.PinnedLoad[service][id.Region(l.GetRegion())] = slots
+	}
+	return report
+}
+
+// maxOfferedSlots bounds the load that another instance may claim to offer to a service.
+const maxOfferedSlots = 1e6
+
+func decodeBeat(b *wire.CoordinatorBeat) entry.CoordinatorBeat {
+	beat := entry.CoordinatorBeat{
+		Stamp: entry.Stamp(b.GetStamp()), Echo: entry.Stamp(b.GetEcho()), Leaving: b.GetLeaving(),
+		LocalShares: make(map[id.Service]float64), Suspects: decodeSuspects(b.GetSuspects()),
+	}
+	for _, s := range b.GetShares() {
+		if beat.Shares == nil {
+			beat.Shares = make(map[id.Organisation]float64)
+		}
+		if isFraction(s.GetShare()) {
+			beat.Shares[id.Organisation(s.GetName())] = s.GetShare()
+		}
+	}
+	for _, s := range b.GetLocal() {
+		if isFraction(s.GetShare()) {
+			beat.LocalShares[id.Service(s.GetName())] = s.GetShare()
+		}
+	}
+	return beat
+}
+
+// isFraction reports whether x is between 0 and 1, which excludes NaN.
+func isFraction(x float64) bool { return x >= 0 && x <= 1 }
+
+func encodeLoads(offered map[id.Service]float64, pinned map[id.Service]map[id.Region]float64) []*wire.OfferedLoad {
+	var loads []*wire.OfferedLoad
+	for service, slots := range offered {
+		loads = append(loads, &wire.OfferedLoad{Service: string(service), Slots: slots})
+	}
+	for service, byRegion := range pinned {
+		for region, slots := range byRegion {
+			loads = append(loads, &wire.OfferedLoad{Service: string(service), Region: string(region), Slots: slots})
+		}
+	}
+	return loads
+}
+
+func encodeSuspects(reports []retry.Report) []*wire.Suspect {
+	var suspects []*wire.Suspect
+	for _, r := range reports {
+		s := &wire.Suspect{Digest: r.Digest[:], Age: int64(r.Age)}
+		for _, u := range r.Upstreams {
+			s.Upstreams = append(s.Upstreams, string(u))
+		}
+		suspects = append(suspects, s)
+	}
+	return suspects
+}
+
+// decodeSuspects returns the valid reports.
+func decodeSuspects(suspects []*wire.Suspect) []retry.Report {
+	var reports []retry.Report
+	for _, s := range suspects {
+		if len(s.GetDigest()) != len(id.Digest{}) || s.GetAge() < 0 {
+			continue
+		}
+		r := retry.Report{Digest: id.Digest(s.GetDigest()), Age: time.Duration(s.GetAge())}
+		for _, u := range s.GetUpstreams() {
+			r.Upstreams = append(r.Upstreams, id.Upstream(u))
+		}
+		reports = append(reports, r)
+	}
+	return reports
+}
--- /dev/null
+++ b/internal/ingress/relay.go
@@ -0,0 +1,289 @@
+package ingress
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"bluebellhold/id"
+	"bluebellhold/internal/entry"
+	"bluebellhold/internal/wire"
+	"bluebellhold/store"
+)
+
+const (
+	// maxLoggedChanges bounds the changes of a table that are kept for members which start to follow it.
+	maxLoggedChanges = 4096
+	// maxUpdateBytes bounds the rows in one message, so that it does not delay others.
+	maxUpdateBytes = 96 << 10
+	// updateQueueLength is the number of updates that may wait while a table is read.
+	updateQueueLength = 64
+	// relayMargin is how much older a relayed view of a table may become than one that is read from the store: the age
+	// of the stamp that it is measured with, and the way between two data centres.
+	relayMargin = 700 * time.Millisecond
+)
+
+// relayedTable is a table of the store that the coordinator of a group reads and passes on to the members.
+//
+// Reading is safe for anybody at any time, so no agreement on the coordinator is needed: a member that does not get a
+// fresh view reads the store itself.
+type relayedTable struct {
+	name   string
+	mirror *store.Mirror
+	// updates are passed to the goroutine that uses mirror.
+	updates chan rowsUpdate
+	// changed wakes that goroutine after a change of the coordinator.
+	changed chan struct{}
+	// freshAt is as of when the view is complete. Only that goroutine uses it.
+	freshAt time.Time
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// log holds the relevant changes after logStart, up to version.
+	log               []store.Change
+	logStart, version uint64
+	// readAt is when the last successful read started, and isLost is set after a failed one.
+	readAt time.Time
+	isLost bool
+	// followers holds the version that each follower has got.
+	followers map[id.Instance]uint64
+}
+
+// rowsUpdate is a received RowsUpdate.
+type rowsUpdate struct {
+	from     id.Instance
+	after    uint64
+	changes  store.ChangeSet
+	freshAt  time.Time
+	isReload bool
+}
+
+func newRelayedTable(feed store.ChangeFeed, name string) *relayedTable {
+	return &relayedTable{
+		name: name, mirror: store.NewMirror(feed, name), updates: make(chan rowsUpdate, updateQueueLength),
+		changed: make(chan struct{}, 1), followers: make(map[id.Instance]uint64),
+	}
+}
+
+// recordRead records the relevant changes that a read or an update returned. The caller has applied them to the mirror.
+func (t *relayedTable) recordRead(readAt time.Time, relevant []store.Change) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.version == 0 {
+		t.logStart = t.mirror.Version()
+		relevant = nil
+	}
+	t.version, t.readAt, t.isLost = t.mirror.Version(), readAt, false
+	t.log = append(t.log, relevant...)
+	if excess := len(t.log) - maxLoggedChanges; excess > 0 {
+		for _, change := range t.log[:excess] {
+			t.logStart = max(t.logStart, change.Version)
+		}
+		t.log = slices.Delete(t.log, 0, excess)
+	}
+}
+
+// confirm records that the store answered a read of another table that started at readAt. A read of this table that
+// waits for a change then counts as up to date.
+func (t *relayedTable) confirm(readAt time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.isLost && readAt.After(t.readAt) {
+		t.readAt = readAt
+	}
+}
+
+// takeFollowers records that the table can't be read and returns its followers, which have to read it themselves.
+func (t *relayedTable) takeFollowers() []id.Instance {
+	names := t.followerNames()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.isLost = true
+	clear(t.followers)
+	return names
+}
+
+// follow registers a follower that has got all changes up to the version after.
+func (t *relayedTable) follow(follower id.Instance, after uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.followers[follower] = after
+}
+
+func (t *relayedTable) unfollow(follower id.Instance) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.followers, follower)
+}
+
+func (t *relayedTable) followerNames() []id.Instance {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	names := make([]id.Instance, 0, len(t.followers))
+	for name := range t.followers {
+		names = append(names, name)
+	}
+	return names
+}
+
+// updatesFor returns the messages that bring a follower up to date, at least one. It returns none before the table has
+// been read.
+func (t *relayedTable) updatesFor(follower id.Instance, now time.Time, echo entry.Stamp) []*wire.RowsUpdate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	after, ok := t.followers[follower]
+	if !ok || t.version == 0 {
+		return nil
+	}
+	if after < t.logStart || t.isLost {
+		delete(t.followers, follower)
+		return []*wire.RowsUpdate{{Table: t.name, Reload: true}}
+	}
+	var changes []store.Change
+	for _, change := range t.log {
+		if change.Version > after {
+			changes = append(changes, change)
+		}
+	}
+	slices.SortStableFunc(changes, func(a, b store.Change) int { return cmp.Compare(a.Version, b.Version) })
+	var updates []*wire.RowsUpdate
+	next := &wire.RowsUpdate{Table: t.name, After: after}
+	bytes := 0
+	for i, change := range changes {
+		next.Rows = append(next.Rows, &wire.Row{
+			Name: change.Name, Version: change.Version, Value: change.Value, Deleted: change.Deleted,
+		})
+		bytes += len(change.Name) + len(change.Value)
+		// Rows that were written together stay together.
+		if bytes >= maxUpdateBytes && i+1 < len(changes) && changes[i+1].Version != change.Version {
+			next.Version = change.Version
+			updates = append(updates, next)
+			next, bytes = &wire.RowsUpdate{Table: t.name, After: change.Version}, 0
+		}
+	}
+	next.Version, next.Age, next.Echo = max(t.version, after), int64(now.Sub(t.readAt)), int64(echo)
+	t.followers[follower] = next.Version
+	return append(updates, next)
+}
+
+// publish sends what the followers have not got yet.
+func (f *follower) publish(t *relayedTable) {
+	for _, name := range t.followerNames() {
+		f.sendUpdates(t, name)
+	}
+}
+
+// dismissFollowers makes the members read a table themselves while this instance can't read it.
+func (f *follower) dismissFollowers(t *relayedTable) {
+	for _, name := range t.takeFollowers() {
+		f.sessions.send(name, &wire.Envelope{Payload: &wire.Envelope_RowsUpdate{RowsUpdate: &wire.RowsUpdate{
+			Table: t.name, Reload: true,
+		}}})
+	}
+}
+
+func (f *follower) sendUpdates(t *relayedTable, name id.Instance) {
+	echo, ok := f.reportStamp(name)
+	if !ok {
+		t.unfollow(name)
+		return
+	}
+	for _, update := range t.updatesFor(name, time.Now(), echo) {
+		f.sessions.send(name, &wire.Envelope{Payload: &wire.Envelope_RowsUpdate{RowsUpdate: update}})
+	}
+}
+
+func (i *Instance) reportStamp(name id.Instance) (entry.Stamp, bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.state.ReportStamp(name)
+}
+
+func (i *Instance) coordinator() id.Instance {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.state.Coordinator()
+}
+
+// relaySource returns the coordinator that this instance follows, or an empty name if it reads the store itself.
+func (i *Instance) relaySource() id.Instance {
+	if c := i.coordinator(); c != i.config.Instance {
+		return c
+	}
+	return ""
+}
+
+// requestRows asks the coordinator for the changes after this instance's view.
+func (f *follower) requestRows(t *relayedTable) {
+	if source := f.relaySource(); source != "" && t.mirror.IsLoaded() {
+		f.sessions.send(source, &wire.Envelope{Payload: &wire.Envelope_RowsRequest{RowsRequest: &wire.RowsRequest{
+			Table: t.name, After: t.mirror.Version(),
+		}}})
+	}
+}
+
+// handleRowsRequest answers a member's request for rows.
+func (f *follower) handleRowsRequest(from id.Instance, r *wire.RowsRequest) {
+	if t := f.tables[r.GetTable()]; t != nil {
+		t.follow(from, r.GetAfter())
+		f.sendUpdates(t, from)
+	}
+}
+
+// handleRowsUpdate passes an update to the goroutine that uses the table's mirror. An update that finds the queue full
+// is dropped; the gap is noticed at the next one.
+func (f *follower) handleRowsUpdate(from id.Instance, u *wire.RowsUpdate) {
+	t := f.tables[u.GetTable()]
+	if t == nil || from != f.relaySource() {
+		return
+	}
+	update := rowsUpdate{
+		from: from, after: u.GetAfter(), isReload: u.GetReload(), changes: store.ChangeSet{Version: u.GetVersion()},
+	}
+	for _, r := range u.GetRows() {
+		update.changes.Rows = append(update.changes.Rows, store.Change{
+			Name: r.GetName(), Version: r.GetVersion(), Value: r.GetValue(), Deleted: r.GetDeleted(),
+		})
+	}
+	f.mu.Lock()
+	at, ok := f.state.TimeOf(time.Now(), entry.Stamp(u.GetEcho()))
+	f.mu.Unlock()
+	if ok && u.GetAge() >= 0 {
+		update.freshAt = at.Add(-time.Duration(u.GetAge()))
+	}
+	select {
+	case t.updates <- update:
+	default:
+		f.log.Warn("relay: update dropped, too many are waiting", "table", t.name)
+	}
+}
+
+// applyUpdate applies a relayed update. After a gap it asks for the missing changes.
+func (f *follower) applyUpdate(t *relayedTable, u rowsUpdate, apply func([]store.Change) []store.Change) {
+	if u.isReload {
+		t.freshAt = time.Time{}
+		return
+	}
+	changes, ok := t.mirror.Apply(u.after, u.changes)
+	if !ok {
+		f.requestRows(t)
+		return
+	}
+	if u.freshAt.After(t.freshAt) {
+		t.freshAt = u.freshAt
+	}
+	t.recordRead(t.freshAt, apply(changes))
+	f.publish(t)
+}
+
+// wakeTables makes all tables notice a change of the coordinator.
+func (i *Instance) wakeTables() {
+	for _, t := range i.tables {
+		select {
+		case t.changed <- struct{}{}:
+		default:
+			// A change is already signalled.
+		}
+	}
+}
--- a/internal/ingress/request_log.go
+++ b/internal/ingress/request_log.go
@@ -144,7 +144,7 @@
 	}
 	switch r.Code {
 	case entry.CodeRateLimited:
-		fields = append(fields, "spent", d.Spent, "part", d.Limit)
+		fields = append(fields, "coordinator", d.Coordinator, "part", d.Share, "tokens", d.Tokens)
 	case entry.CodeOverloaded, entry.CodeNoUpstream, entry.CodeDeadline, entry.CodeUpstreamFailed:
 		fields = append(fields, "service", d.Service, "waiting", d.QueueLength, "wait", d.EstimatedWait, "upstreams", d.UpstreamCount,
 			"listage", d.UpstreamListAge)
--- /dev/null
+++ b/internal/ingress/sessions.go
@@ -0,0 +1,132 @@
+package ingress
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"sync"
+	"time"
+
+	"bluebellhold/id"
+	"bluebellhold/internal/entry"
+	"bluebellhold/internal/peer"
+	"bluebellhold/internal/wire"
+	"bluebellhold/store"
+)
+
+const (
+	// secretRow is the row that holds the secret with which instances prove that they belong to the fleet.
+	secretRow = "sessions"
+	// secretBytes is the length of a new secret.
+	secretBytes = 32
+)
+
+// sessions are the sessions with other instances of the group. There are none until the fleet's secret has been read
+// from the store; messages are lost until then.
+type sessions struct {
+	mu        sync.Mutex
+	transport *peer.Transport
+	contacts  []store.Member
+}
+
+// send sends a message unless there is no session with the instance. It never blocks.
+func (s *sessions) send(to id.Instance, m *wire.Envelope) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.transport != nil {
+		s.transport.Send(to, m)
+	}
+}
+
+// setContacts replaces the instances to keep sessions with.
+func (s *sessions) setContacts(contacts []entry.Contact) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.contacts = s.contacts[:0]
+	for _, c := range contacts {
+		s.contacts = append(s.contacts, store.Member{Instance: c.Instance, Peer: c.Address})
+	}
+	if s.transport != nil {
+		s.transport.SetPeers(s.contacts)
+	}
+}
+
+func (s *sessions) open(t *peer.Transport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.transport = t
+	t.SetPeers(s.contacts)
+}
+
+// close closes the sessions after the queued messages have been sent.
+func (s *sessions) close() {
+	s.mu.Lock()
+	t := s.transport
+	s.transport = nil
+	s.mu.Unlock()
+	if t != nil {
+		t.Close()
+	}
+}
+
+// openSessions reads the fleet's secret and then accepts and opens sessions. It tries until it succeeds.
+func (f *follower) openSessions(ctx context.Context) {
+	for ctx.Err() == nil {
+		secret, err := f.readSecret(ctx)
+		if err == nil {
+			f.startTransport(secret)
+			return
+		}
+		if !errors.As(err, new(*store.ConflictError)) {
+			f.log.Warn("sessions: the secret can't be read", "error", err)
+		}
+		select {
+		case <-time.After(retryDelay):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// readSecret returns the fleet's secret. The first instance of a fleet creates it.
+func (f *follower) readSecret(ctx context.Context) ([]byte, error) {
+	rows, err := f.config.Feed.Snapshot(ctx, f.config.Tables.Secrets)
+	if err != nil {
+		return nil, err
+	}
+	for _, row := range rows.Rows {
+		if row.Name == secretRow && !row.Deleted {
+			return row.Value, nil
+		}
+	}
+	secret := make([]byte, secretBytes)
+	rand.Read(secret) // Read never returns an error; it crashes the process instead.
+	// If the response is lost or another instance was faster, the next attempt reads the row.
+	return secret, f.config.Feed.Put(ctx, f.config.Tables.Secrets, secretRow, secret, 0)
+}
+
+func (f *follower) startTransport(secret []byte) {
+	transport, err := peer.New(peer.Config{
+		Self: f.config.Instance, Incarnation: id.Incarnation(f.startTime), Listen: f.config.PeerAddress, Secret: secret,
+		Log: f.log, Registry: f.registry, OnMessage: f.handleEnvelope,
+	})
+	if err != nil {
+		// The instance then serves as a group of its own.
+		f.log.Error("sessions: no sessions with other instances", "address", f.config.PeerAddress, "error", err)
+		return
+	}
+	f.sessions.open(transport)
+}
+
+// handleEnvelope handles a message of another instance.
+func (f *follower) handleEnvelope(from id.Instance, m *wire.Envelope) {
+	switch payload := m.GetPayload().(type) {
+	case *wire.Envelope_RowsRequest:
+		f.handleRowsRequest(from, payload.RowsRequest)
+	case *wire.Envelope_RowsUpdate:
+		f.handleRowsUpdate(from, payload.RowsUpdate)
+	default:
+		if message := decodeMessage(m); message != nil {
+			f.Post(entry.MessageReceived{From: from, Message: message})
+		}
+	}
+}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -30,7 +30,9 @@
 	ReadinessAddress   string                      `json:"ready"`
 	LookupAddress      string                      `json:"lookup"`
 	MetricsAddress     string                      `json:"metrics"`
-	StoreAddress       string                      `json:"store"`
+	// PeerAddress accepts sessions of other instances.
+	PeerAddress  string `json:"peers"`
+	StoreAddress string `json:"store"`
 	// MemoryMiB is the memory in MiB that the process may use.
 	MemoryMiB int64  `json:"memory"`
 	Bounds    Bounds `json:"bounds"`
@@ -108,6 +110,7 @@
 		{"ready", s.ReadinessAddress},
 		{"lookup", s.LookupAddress},
 		{"metrics", s.MetricsAddress},
+		{"peers", s.PeerAddress},
 		{"store", s.StoreAddress},
 	} {
 		if _, err := netip.ParseAddrPort(a.address); err != nil {
--- a/store/mirror.go
+++ b/store/mirror.go
@@ -78,6 +78,20 @@
 	return applied
 }
 
+// Apply updates the copy with changes that another reader of the table has read, and returns the rows that changed. It
+// reports false and changes nothing unless the copy has been loaded and is as new as the changes require: after is the
+// version since which they are complete.
+func (m *Mirror) Apply(after uint64, changes ChangeSet) ([]Change, bool) {
+	if !m.isLoaded || after > m.version {
+		return nil, false
+	}
+	m.version = max(m.version, changes.Version)
+	return m.apply(changes.Rows), true
+}
+
+// IsLoaded reports whether the table has been read.
+func (m *Mirror) IsLoaded() bool { return m.isLoaded }
+
 // Version returns the version of the store that the copy is up to date with.
 func (m *Mirror) Version() uint64 { return m.version }
 
