Make fewer store calls while a fleet starts

Change: the first heartbeat is read back after 0.5 s; only a coordinator that has joined confirms new members at once; an instance without a predecessor coordinates nobody within its first second; a member reads without waiting, and a wait that ended without a change counts as fresh as of its end. A coordinator vouches for all members that report, and its heartbeat states the version that they have all got. Rows of groups are written each 4 s while no share is wanted. Limits refill at what rate and burst allow within a window, evenly, since callers are owed that.

Ruled out: longer waits of the operator's rows; they are few.

--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -112,14 +112,20 @@
 	// instances use, so that small limits can be divided. The rest covers tokens that were used later than granted, and
 	// requests that ran twice.
 	slackFraction  = 0.6
-	excessFraction = 0.4
+	excessFraction = 0.5
 )
 
+// refillRate returns the rate at which all instances together may admit requests of an organisation for any length of
+// time: what rate and burst allow within RateWindow, evenly.
+func (b Bounds) refillRate(o Organisation) id.TokensPerSecond {
+	return o.Rate + id.TokensPerSecond(float64(o.Burst)/b.RateWindow.Seconds())
+}
+
 // bucketDepth returns the tokens of an organisation that all instances together may save up. With the refill, they
 // admit at most rate times RateWindow plus burst within RateWindow, and a part of the tolerance.
 func (b Bounds) bucketDepth(o Organisation) id.Tokens {
-	excess := excessFraction * b.RateExcess * (float64(o.Rate)*b.RateWindow.Seconds() + float64(o.Burst))
-	return o.Burst + id.Tokens(b.RateSlack*slackFraction+excess)
+	excess := b.RateExcess * (float64(o.Rate)*b.RateWindow.Seconds() + float64(o.Burst))
+	return id.Tokens(b.RateSlack*slackFraction + excess*excessFraction)
 }
 
 // maxColdRate returns the number of requests per second that all instances together may send to a cold upstream of a
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -57,23 +57,25 @@
 // fleetMember is one instance; its clock stops while it is suspended.
 type fleetMember struct {
 	*harness
-	name                    id.Instance
-	region                  id.Region
-	startTime               int64
-	nextHeartbeatAt         time.Time
-	nextGroupSyncAt         time.Time
-	partitionedUntil        time.Time // from the store
-	cutUntil                time.Time // from the other instances
-	deafUntil               time.Time // gets no messages, and sends some
-	slowUntil               time.Time // gets messages late
-	restartAt               time.Time
-	suspendedUntil          time.Time
-	frozenUntil             time.Time
-	losesResponses          bool
-	suspendedFor            time.Duration
-	attempts                map[id.Request]int
-	readVersion, rowVersion uint64 // versions of the store and of its own row at its last read
-	groupVersion            uint64 // version of the row of its group at its last read
+	name             id.Instance
+	region           id.Region
+	startTime        int64
+	nextHeartbeatAt  time.Time
+	nextGroupSyncAt  time.Time
+	partitionedUntil time.Time // from the store
+	cutUntil         time.Time // from the other instances
+	deafUntil        time.Time // gets no messages, and sends some
+	slowUntil        time.Time // gets messages late
+	restartAt        time.Time
+	suspendedUntil   time.Time
+	frozenUntil      time.Time
+	losesResponses   bool
+	suspendedFor     time.Duration
+	attempts         map[id.Request]int
+	readVersions     []uint64 // versions of the store at its last reads
+	readTimes        []time.Time
+	rowVersion       uint64 // version of its own row at its last read
+	groupVersion     uint64 // version of the row of its group at its last read
 }
 
 // message is a message in transit.
@@ -107,7 +109,7 @@
 	})}
 	m.nextHeartbeatAt, m.attempts = f.now.Add(time.Duration(f.random.Int64N(int64(300*time.Millisecond)))),
 		make(map[id.Request]int)
-	m.nextGroupSyncAt = f.now
+	m.nextGroupSyncAt, m.readVersions, m.readTimes = f.now, nil, nil
 	c := configuration()
 	c.Organisations["school"] = entry.Organisation{Rate: f.rate, Burst: f.burst}
 	list := upstreams()
@@ -184,10 +186,17 @@
 // heartbeat writes a heartbeat if the instance needs one and reads those of the others.
 func (f *fleet) heartbeat(m *fleetMember) {
 	m.nextHeartbeatAt = f.now.Add(heartbeatInterval)
+	vouched, upToDateAsOf := m.state.Vouched(m.now)
+	var readVersion uint64
+	for i, at := range m.readTimes {
+		if at.Before(upToDateAsOf) {
+			readVersion = m.readVersions[i]
+		}
+	}
 	row := entry.Member{
 		Instance: m.name, Region: m.region, DataCentre: id.DataCentre(m.region + "-1"), Address: "10.0.0.1:80",
-		PeerAddress: "10.0.0.1:81", ReadVersion: m.readVersion, StartTime: m.startTime,
-		OfferedLoad: m.state.OfferedLoad(m.now), LocalShares: m.state.LocalShares(), Vouched: m.state.Vouched(),
+		PeerAddress: "10.0.0.1:81", ReadVersion: readVersion, StartTime: m.startTime,
+		OfferedLoad: m.state.OfferedLoad(m.now), LocalShares: m.state.LocalShares(), Vouched: vouched,
 	}
 	needsHeartbeat, expected := m.state.NeedsHeartbeat(), m.rowVersion
 	f.callStore(m, func() {
@@ -201,7 +210,8 @@
 }
 
 func (f *fleet) readHeartbeats(m *fleetMember) {
-	m.readVersion, m.rowVersion = f.version, f.rows[m.name].Version
+	m.readVersions, m.readTimes = append(m.readVersions, f.version), append(m.readTimes, m.now)
+	m.rowVersion = f.rows[m.name].Version
 	f.reduce(m, entry.MembersRead{Members: f.heartbeats()})
 	if !m.state.IsCoordinator() {
 		return
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -221,14 +221,16 @@
 func (s *State) updateCoordinator() {
 	g := &s.group
 	next := s.config.Instance
-	isPending := s.membership.readAt.IsZero()
+	// Instances that start together need some time to see each other.
+	isPending := s.membership.readAt.IsZero() ||
+		s.membership.predecessor == nil && s.now.Sub(g.startedAt) < minJoinTime
 	for _, d := range g.dialled {
 		c := g.contacts[d.Instance]
 		if c.isAlive(s.now) {
 			next, isPending = d.Instance, false
 			break
 		}
-		isPending = isPending || c.echoedAt.IsZero() && !c.isLeaving && s.now.Sub(c.addedAt) < contactTimeout
+		isPending = isPending || c.echoedAt.IsZero() && !c.isLeaving && s.now.Sub(c.addedAt) < s.firstContactTimeout()
 	}
 	if next == s.config.Instance && isPending {
 		// The current coordinator may still be alive.
@@ -250,6 +252,15 @@
 	s.askAgain()
 }
 
+// firstContactTimeout is the time for the first beat of a contact. When the whole fleet starts for the first time, the
+// sessions take longer to open.
+func (s *State) firstContactTimeout() time.Duration {
+	if s.membership.predecessor == nil && !s.membership.isJoined {
+		return 2 * contactTimeout
+	}
+	return contactTimeout
+}
+
 // timeOf converts a stamp of this instance's clock, which another instance returned; zero if there is none. A stamp
 // from the future is not one of this process.
 func (s *State) timeOf(stamp Stamp) time.Time {
@@ -408,20 +419,22 @@
 // from the start of its grace period, in which it lends its part to nobody.
 const leavingPartTimeout = 2 * time.Second
 
-// Vouched returns the members that report to this instance, so that they need no heartbeats of their own. They have got
-// what this instance has read of the heartbeats, since a beat that was sent after it has reached them.
-func (s *State) Vouched() []id.Instance {
+// Vouched returns the members that report to this instance, so that they need no heartbeats of their own, and a time
+// as of which they have got everything that this instance has read and relayed.
+func (s *State) Vouched(now time.Time) (names []id.Instance, upToDateAsOf time.Time) {
+	s.now = now
 	if !s.IsCoordinator() {
-		return nil
+		return nil, now
 	}
-	var names []id.Instance
+	upToDateAsOf = now
 	for name, l := range s.group.lenders {
-		if s.now.Sub(l.reportedAt) < contactTimeout && !l.echoedAt.Before(s.membership.lastReadAt) {
+		if now.Sub(l.reportedAt) < contactTimeout && now.Sub(l.echoedAt) < contactTimeout {
 			names = append(names, name)
+			upToDateAsOf = earlier(upToDateAsOf, l.echoedAt)
 		}
 	}
 	slices.Sort(names)
-	return names
+	return names, upToDateAsOf
 }
 
 // NeedsHeartbeat reports whether this instance writes its own heartbeat: unless its coordinator's heartbeat vouches for
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -29,8 +29,8 @@
 	known []id.Instance
 	// startedAt is when the process started.
 	startedAt time.Time
-	// readAt is when the heartbeats were last read and some were new, and lastReadAt when they were last read.
-	readAt, lastReadAt time.Time
+	// readAt is when the heartbeats were last read and some were new.
+	readAt time.Time
 	// startTime distinguishes this process from its predecessors; predecessor is their last heartbeat.
 	startTime   int64
 	predecessor *Member
@@ -75,7 +75,6 @@
 	if hasNew || m.readAt.IsZero() {
 		m.readAt = now
 	}
-	m.lastReadAt = now
 	for _, h := range heartbeats {
 		if h.Instance == m.self && h.StartTime != m.startTime && m.predecessor == nil {
 			m.predecessor = &h
--- a/internal/entry/share.go
+++ b/internal/entry/share.go
@@ -103,6 +103,19 @@
 	return row, true
 }
 
+// WantsShares reports whether this instance coordinates a group that claims a larger share of some limit.
+func (s *State) WantsShares() bool {
+	if !s.IsCoordinator() {
+		return false
+	}
+	for _, o := range s.organisations {
+		if o.claim > o.held {
+			return true
+		}
+	}
+	return false
+}
+
 // LacksShares reports whether this instance coordinates a group that holds no share of some organisation's limit.
 func (s *State) LacksShares() bool {
 	if !s.IsCoordinator() {
@@ -259,7 +272,8 @@
 func (s *State) applyShare(name id.Organisation, o *organisation) {
 	config := s.configuration.Organisations[name]
 	part := o.held * s.group.fraction
-	rate, depth := config.Rate*id.TokensPerSecond(part), s.config.Bounds.bucketDepth(config)*id.Tokens(part)
+	bounds := s.config.Bounds
+	rate, depth := bounds.refillRate(config)*id.TokensPerSecond(part), bounds.bucketDepth(config)*id.Tokens(part)
 	if s.group.fraction >= minWholeTokenFraction && part > 0 {
 		// A bucket that holds less than a token gives none.
 		depth = max(depth, 1)
--- a/internal/ingress/follower.go
+++ b/internal/ingress/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"bluebellhold/id"
@@ -25,9 +26,13 @@
 	maxUpstreamPollInterval = 3 * time.Second
 	// heartbeatInterval is the time between two heartbeats of this instance, each followed by a read of all heartbeats.
 	heartbeatInterval = 2 * time.Second
-	// minHeartbeatInterval is the minimum time between two heartbeats, and their interval while the instance joins or
-	// lacks shares; a heartbeat and a read take some 100 ms between regions.
+	// minHeartbeatInterval is the minimum time between two heartbeats, and between two rows of a group that lacks shares;
+	// a write and a read take some 200 ms between regions.
 	minHeartbeatInterval = 400 * time.Millisecond
+	// joinInterval is the time between the first two reads of the heartbeats.
+	joinInterval = 500 * time.Millisecond
+	// vouchTime is how long a member waits for its coordinator to vouch for it before it renews its own heartbeat.
+	vouchTime = time.Second
 	// retryDelay is the delay after a failed read, and after a first read that returned nothing.
 	retryDelay = 300 * time.Millisecond
 	// recoveryGrace is how long upstreams whose rows were removed during an outage of the store are kept after its
@@ -54,7 +59,10 @@
 	recoveredAt       time.Time
 	knownMembers      map[string]entry.Member
 	hasReadHeartbeats bool
-	groupRows         *store.Mirror
+	heartbeatReads    []heartbeatRead
+	// heartbeatWrittenAt is when this instance's last heartbeat was written.
+	heartbeatWrittenAt time.Time
+	groupRows          *store.Mirror
 }
 
 func newFollower(i *Instance) *follower {
@@ -72,7 +80,7 @@
 	operator, upstreams := f.tables[f.config.Tables.Operator], f.tables[f.config.Tables.Upstreams]
 	f.follow(ctx, operator, followedTable{
 		read: f.readOperator, apply: f.applyOperatorChanges,
-		interval: func() time.Duration { return 0 }, maxAge: f.upstreamPollInterval() + relayMargin,
+		interval: func() time.Duration { return 0 }, maxWait: operatorMaxWait, maxAge: f.upstreamPollInterval() + relayMargin,
 	})
 	f.follow(ctx, upstreams, followedTable{
 		read: f.readUpstreams, apply: f.applyUpstreamChanges,
@@ -98,14 +106,18 @@
 }
 
 // heartbeatPause returns the time between two heartbeats. It is shorter while the instance has not joined, which it does
-// once the others have read its heartbeat.
+// once the others have read its heartbeat, and shortest after the first one, when others that started at the same time
+// appear.
 func (f *follower) heartbeatPause() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.state.HasJoined() {
-		return minHeartbeatInterval
+	switch {
+	case f.state.HasJoined():
+		return heartbeatInterval
+	case len(f.heartbeatReads) > 1:
+		return 2 * joinInterval
 	}
-	return heartbeatInterval
+	return joinInterval
 }
 
 // followedTable is how one table is followed.
@@ -118,6 +130,8 @@
 	// is read.
 	interval func() time.Duration
 	maxAge   time.Duration
+	// maxWait is how long a read may wait for changes.
+	maxWait time.Duration
 	// confirms is a table whose reads wait for changes; a read of this table shows that the store would have answered.
 	confirms *relayedTable
 	// trigger causes a read ahead of schedule; nil means never.
@@ -192,10 +206,17 @@
 						f.log.Info("store: recovered", "part", t.name, "outage", time.Since(outageStart))
 						outageStart = time.Time{}
 					}
-					t.freshAt, notBefore = later(t.freshAt, startedAt), time.Time{}
-					t.recordRead(startedAt, relevant)
+					freshAt := startedAt
+					if p.maxWait > 0 && time.Since(startedAt) >= p.maxWait {
+						freshAt = startedAt.Add(p.maxWait)
+					}
+					t.freshAt, notBefore = later(t.freshAt, freshAt), time.Time{}
+					t.recordRead(freshAt, relevant)
 					f.publish(t)
-					f.requestRows(t)
+					if f.relaySource() != "" {
+						f.requestRows(t)
+						notBefore = time.Now().Add(followerPause)
+					}
 					if p.confirms != nil {
 						p.confirms.confirm(startedAt)
 						f.publish(p.confirms)
@@ -212,7 +233,12 @@
 func (f *follower) readOperator(ctx context.Context) ([]store.Change, error) {
 	rows := f.tables[f.config.Tables.Operator].mirror
 	isFirst := len(rows.Rows()) == 0
-	changes, err := rows.Refresh(ctx, operatorMaxWait)
+	wait := operatorMaxWait
+	if f.relaySource() != "" {
+		// The coordinator waits for changes.
+		wait = 0
+	}
+	changes, err := rows.Refresh(ctx, wait)
 	if err != nil {
 		return nil, err
 	}
@@ -356,37 +382,55 @@
 	return a == b
 }
 
-// heartbeat writes this instance's heartbeat unless its coordinator vouches for it, and reads all heartbeats. It repeats
-// both after a conflict, and if new members have appeared.
+// heartbeat writes this instance's heartbeat unless its coordinator vouches for it, and reads all heartbeats unless its
+// coordinator relays them.
 func (f *follower) heartbeat(ctx context.Context) ([]store.Change, error) {
 	if !f.hasReadHeartbeats {
-		// The heartbeat of this instance's previous process must be read before it is overwritten.
-		_, err := f.readHeartbeats(ctx)
-		if err != nil {
+		// The heartbeat of this instance's previous process must be read before it is overwritten. Those of instances that
+		// start together appear while this one waits for joinInterval.
+		if _, err := f.readHeartbeats(ctx); err != nil {
 			return nil, err
 		}
 		f.hasReadHeartbeats = true
+		return nil, f.writeHeartbeat(ctx, f.isStopping.Load())
 	}
 	knownCount := len(f.knownMembers)
 	changes, err := f.syncHeartbeats(ctx)
 	// A new instance joins once the heartbeats of the others confirm that they have read its own, so new members are
 	// confirmed at once. A conflict means that an earlier write took effect late, after its response was lost.
-	if errors.As(err, new(*store.ConflictError)) || err == nil && len(f.knownMembers) > knownCount {
+	if errors.As(err, new(*store.ConflictError)) || err == nil && len(f.knownMembers) > knownCount && f.isSettledCoordinator() {
+		f.heartbeatWrittenAt = time.Time{}
 		more, err := f.syncHeartbeats(ctx)
 		return append(changes, more...), err
 	}
 	return changes, err
 }
 
+// isSettledCoordinator reports whether this instance coordinates its group and has joined the fleet. When all instances
+// start together, confirming each new one at once would cost several calls an instance.
+func (f *follower) isSettledCoordinator() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.IsCoordinator() && f.state.HasJoined()
+}
+
 // syncHeartbeats writes this instance's heartbeat if it needs one, and reads all heartbeats even if the write failed.
 func (f *follower) syncHeartbeats(ctx context.Context) ([]store.Change, error) {
 	f.mu.Lock()
 	needsHeartbeat := f.state.NeedsHeartbeat()
 	f.mu.Unlock()
+	// A member leaves its coordinator some time to vouch for it.
+	interval := heartbeatInterval - minHeartbeatInterval
+	if f.relaySource() != "" {
+		interval = heartbeatInterval + vouchTime
+	}
 	var err error
-	if needsHeartbeat {
+	if needsHeartbeat && (f.isStopping.Load() || time.Since(f.heartbeatWrittenAt) > interval) {
 		err = f.writeHeartbeat(ctx, f.isStopping.Load())
 	}
+	if t := f.tables[f.config.Tables.Members]; f.relaySource() != "" && time.Since(t.freshAt) < heartbeatInterval {
+		return nil, err
+	}
 	changes, readErr := f.readHeartbeats(ctx)
 	if readErr != nil {
 		return nil, readErr
@@ -413,6 +457,12 @@
 		list = append(list, m)
 	}
 	f.Post(entry.MembersRead{Members: list})
+	f.heartbeatReads = append(f.heartbeatReads, heartbeatRead{
+		time.Now(), f.tables[f.config.Tables.Members].mirror.Version(),
+	})
+	if excess := len(f.heartbeatReads) - maxHeartbeatReads; excess > 0 {
+		f.heartbeatReads = slices.Delete(f.heartbeatReads, 0, excess)
+	}
 	return changes
 }
 
@@ -453,7 +503,8 @@
 	f.mu.Lock()
 	now := time.Now()
 	offeredLoad, pinnedLoad, reports := f.state.OfferedLoad(now), f.state.PinnedLoad(now), f.state.Suspects(now)
-	localShares, vouched := f.state.LocalShares(), f.state.Vouched()
+	localShares := f.state.LocalShares()
+	vouched, upToDateAsOf := f.state.Vouched(now)
 	f.mu.Unlock()
 	var suspects []suspectReport
 	for _, r := range reports {
@@ -464,7 +515,7 @@
 	rows := f.tables[f.config.Tables.Members].mirror
 	value, err := json.Marshal(heartbeatRow{
 		Address: f.config.CallerAddress, Region: f.config.Region, DataCentre: f.config.DataCentre,
-		PeerAddress: f.config.PeerAddress, Vouched: vouched, Leaving: isLeaving, ReadVersion: rows.Version(),
+		PeerAddress: f.config.PeerAddress, Vouched: vouched, Leaving: isLeaving, ReadVersion: f.relayedVersion(upToDateAsOf),
 		StartTime: f.startTime, OfferedLoad: offeredLoad, PinnedLoad: pinnedLoad, LocalShares: localShares,
 		Suspects: suspects,
 	})
@@ -472,7 +523,31 @@
 		return err
 	}
 	name := string(f.config.Instance)
-	return f.config.Feed.Put(ctx, f.config.Tables.Members, name, value, rows.RowVersion(name))
+	err = f.config.Feed.Put(ctx, f.config.Tables.Members, name, value, rows.RowVersion(name))
+	if err == nil {
+		f.heartbeatWrittenAt = now
+	}
+	return err
+}
+
+// heartbeatRead is a read of the heartbeats.
+type heartbeatRead struct {
+	at      time.Time
+	version uint64
+}
+
+// maxHeartbeatReads is the number of reads that are remembered; members confirm them within contactTimeout.
+const maxHeartbeatReads = 8
+
+// relayedVersion returns the version of the latest read of the heartbeats that ended before the given time.
+func (f *follower) relayedVersion(at time.Time) uint64 {
+	var version uint64
+	for _, r := range f.heartbeatReads {
+		if r.at.Before(at) {
+			version = r.version
+		}
+	}
+	return version
 }
 
 func (f *follower) applyHeartbeatChange(change store.Change) {
--- a/internal/ingress/groups.go
+++ b/internal/ingress/groups.go
@@ -22,8 +22,14 @@
 	Shares map[id.Organisation]float64 `json:"held,omitempty"`
 }
 
-// coordinatorPollInterval is how often an instance checks whether it has become the coordinator.
-const coordinatorPollInterval = 100 * time.Millisecond
+const (
+	// coordinatorPollInterval is how often an instance checks whether it has become the coordinator.
+	coordinatorPollInterval = 100 * time.Millisecond
+	// groupInterval is the time between two rows of a group whose shares suffice, and claimInterval that between the
+	// rows of one that claims more.
+	groupInterval = 4 * time.Second
+	claimInterval = time.Second
+)
 
 // coordinateGroup writes the row of the group and reads those of all groups while this instance is the coordinator.
 func (f *follower) coordinateGroup(ctx context.Context) {
@@ -31,10 +37,13 @@
 	for ctx.Err() == nil {
 		pause := coordinatorPollInterval
 		f.mu.Lock()
-		isCoordinator, lacksShares := f.state.IsCoordinator(), f.state.LacksShares()
+		isCoordinator := f.state.IsCoordinator()
 		f.mu.Unlock()
 		if isCoordinator {
 			err := f.syncGroups(ctx)
+			f.mu.Lock()
+			lacksShares, wantsShares := f.state.LacksShares(), f.state.WantsShares()
+			f.mu.Unlock()
 			switch {
 			case err != nil:
 				if !isLost {
@@ -43,8 +52,10 @@
 				pause = retryDelay
 			case lacksShares:
 				pause = minHeartbeatInterval
+			case wantsShares:
+				pause = claimInterval
 			default:
-				pause = heartbeatInterval
+				pause = groupInterval
 			}
 			if isLost && err == nil {
 				f.log.Info("store: recovered", "part", "groups")
--- a/internal/ingress/sessions.go
+++ b/internal/ingress/sessions.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	mathrand "math/rand/v2"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 	secretRow = "sessions"
 	// secretBytes is the length of a new secret.
 	secretBytes = 32
+	// maxCreationDelay spreads the attempts of instances that start together to create the secret.
+	maxCreationDelay = 300 * time.Millisecond
 )
 
 // sessions are the sessions with other instances of the group. There are none until the fleet's secret has been read
@@ -89,6 +92,25 @@
 
 // readSecret returns the fleet's secret. The first instance of a fleet creates it.
 func (f *follower) readSecret(ctx context.Context) ([]byte, error) {
+	secret, err := f.findSecret(ctx)
+	if secret != nil || err != nil {
+		return secret, err
+	}
+	select {
+	case <-time.After(mathrand.N(maxCreationDelay)):
+	case <-ctx.Done():
+	}
+	if secret, err := f.findSecret(ctx); secret != nil || err != nil {
+		return secret, err
+	}
+	secret = make([]byte, secretBytes)
+	rand.Read(secret) // Read never returns an error; it crashes the process instead.
+	// If the response is lost or another instance was faster, the next attempt reads the row.
+	return secret, f.config.Feed.Put(ctx, f.config.Tables.Secrets, secretRow, secret, 0)
+}
+
+// findSecret returns the fleet's secret, or nil if there is none.
+func (f *follower) findSecret(ctx context.Context) ([]byte, error) {
 	rows, err := f.config.Feed.Snapshot(ctx, f.config.Tables.Secrets)
 	if err != nil {
 		return nil, err
@@ -98,10 +120,7 @@
 			return row.Value, nil
 		}
 	}
-	secret := make([]byte, secretBytes)
-	rand.Read(secret) // Read never returns an error; it crashes the process instead.
-	// If the response is lost or another instance was faster, the next attempt reads the row.
-	return secret, f.config.Feed.Put(ctx, f.config.Tables.Secrets, secretRow, secret, 0)
+	return nil, nil
 }
 
 func (f *follower) startTransport(secret []byte) {
