Relay compressed rows through the instances with the fastest links

Ruled out: tokens asked for too late (the coordinators' own requests had tokens), and processor time of the coordinators (2.6% of a core).

Change: rows in an update are compressed, once for all followers that get the same ones. The instances with the most bandwidth, from the new setting link, coordinate first.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -70,8 +70,8 @@
 		Instance: s.Name, Region: s.Region, DataCentre: s.DataCentre,
 		CallerAddress: s.CallerAddress, ReadinessAddress: s.ReadinessAddress,
 		LookupAddress: s.LookupAddress, MetricsAddress: s.MetricsAddress,
-		PeerAddress: s.PeerAddress,
-		Bounds:      entryBounds(s.Bounds), MemoryLimit: id.Bytes(s.MemoryMiB) << 20,
+		PeerAddress: s.PeerAddress, LinkCapacity: int(s.LinkMbps),
+		Bounds: entryBounds(s.Bounds), MemoryLimit: id.Bytes(s.MemoryMiB) << 20,
 		Feed: platform.NewStoreClient(s.StoreAddress),
 		Tables: ingress.Tables{
 			Operator: platform.OperatorTable, Upstreams: platform.ServersTable, Members: membersTable,
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -47,6 +47,8 @@
 	Address    string
 	// PeerAddress accepts sessions of other instances.
 	PeerAddress string
+	// Capacity ranks the members that may coordinate the group; see Config.
+	Capacity int
 	// Vouched are the members of the group that report to the instance and write no heartbeats themselves.
 	Vouched []id.Instance
 	// Leaving is set while the instance shuts down.
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -166,21 +166,29 @@
 	Address string
 }
 
-// rankMembers returns the serving members of the group and this instance, in the order in which they coordinate it.
+// rankMembers returns the serving members of the group and this instance, in the order in which they coordinate it: those
+// with the most capacity first, and by rendezvous hashing among equals.
 func (s *State) rankMembers() []id.Instance {
 	own := s.Group()
+	type rank struct {
+		capacity int
+		hash     uint64
+	}
 	ranked := []id.Instance{s.config.Instance}
+	ranks := map[id.Instance]rank{s.config.Instance: {capacity: s.config.Capacity}}
 	for name, m := range s.membership.members {
 		if m.PeerAddress != "" && !m.Leaving && s.isInGroup(m) {
 			ranked = append(ranked, name)
+			ranks[name] = rank{capacity: m.Capacity}
 		}
 	}
-	hashes := make(map[id.Instance]uint64, len(ranked))
-	for _, name := range ranked {
-		hashes[name] = xxhash.Sum64String(string(own) + "/" + string(name))
+	for name, r := range ranks {
+		r.hash = xxhash.Sum64String(string(own) + "/" + string(name))
+		ranks[name] = r
 	}
 	slices.SortFunc(ranked, func(a, b id.Instance) int {
-		return cmp.Or(cmp.Compare(hashes[b], hashes[a]), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(ranks[b].capacity, ranks[a].capacity), cmp.Compare(ranks[b].hash, ranks[a].hash),
+			cmp.Compare(a, b))
 	})
 	return ranked
 }
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -17,8 +17,11 @@
 	DataCentre id.DataCentre
 	// Address is where callers reach the instance.
 	Address string
-	Bounds  Bounds
-	Seed    uint64
+	// Capacity is the bandwidth of the instance's link in Mbit/s. The instances with the most capacity coordinate their
+	// group, since a coordinator sends each change to all members.
+	Capacity int
+	Bounds   Bounds
+	Seed     uint64
 	// StartTime distinguishes this process from others of the same instance.
 	StartTime int64
 }
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -28,6 +28,8 @@
 	// PeerAddress is the address to listen on for sessions with other instances.
 	PeerAddress string
 	Bounds      entry.Bounds
+	// LinkCapacity is the bandwidth of the instance's link in Mbit/s; zero means unknown.
+	LinkCapacity int
 	// MemoryLimit is the memory that the process may use.
 	MemoryLimit id.Bytes
 	Feed        store.ChangeFeed
--- a/internal/ingress/follower.go
+++ b/internal/ingress/follower.go
@@ -473,6 +473,8 @@
 	DataCentre id.DataCentre `json:"datacentre"`
 	// PeerAddress accepts sessions of other instances.
 	PeerAddress string `json:"peer"`
+	// Capacity is the bandwidth of the instance's link in Mbit/s.
+	Capacity int `json:"link,omitempty"`
 	// Vouched are the members that report to the instance and write no heartbeats themselves.
 	Vouched []id.Instance `json:"vouched,omitempty"`
 	Leaving bool          `json:"leaving,omitempty"`
@@ -515,7 +517,7 @@
 	rows := f.tables[f.config.Tables.Members].mirror
 	value, err := json.Marshal(heartbeatRow{
 		Address: f.config.CallerAddress, Region: f.config.Region, DataCentre: f.config.DataCentre,
-		PeerAddress: f.config.PeerAddress, Vouched: vouched, Leaving: isLeaving, ReadVersion: f.relayedVersion(upToDateAsOf),
+		PeerAddress: f.config.PeerAddress, Capacity: f.config.LinkCapacity, Vouched: vouched, Leaving: isLeaving, ReadVersion: f.relayedVersion(upToDateAsOf),
 		StartTime: f.startTime, OfferedLoad: offeredLoad, PinnedLoad: pinnedLoad, LocalShares: localShares,
 		Suspects: suspects,
 	})
@@ -568,7 +570,7 @@
 	}
 	f.knownMembers[change.Name] = entry.Member{
 		Instance: id.Instance(change.Name), Region: heartbeat.Region, DataCentre: heartbeat.DataCentre,
-		Address: heartbeat.Address, PeerAddress: heartbeat.PeerAddress, Vouched: heartbeat.Vouched,
+		Address: heartbeat.Address, PeerAddress: heartbeat.PeerAddress, Capacity: heartbeat.Capacity, Vouched: heartbeat.Vouched,
 		Leaving: heartbeat.Leaving, Version: change.Version, ReadVersion: heartbeat.ReadVersion,
 		StartTime: heartbeat.StartTime, OfferedLoad: heartbeat.OfferedLoad, PinnedLoad: heartbeat.PinnedLoad,
 		LocalShares: heartbeat.LocalShares, Suspects: suspects,
--- a/internal/ingress/instance.go
+++ b/internal/ingress/instance.go
@@ -82,7 +82,7 @@
 		requestLog:    newRequestLog(c.Log),
 		state: entry.New(entry.Config{
 			Instance: c.Instance, Region: c.Region, DataCentre: c.DataCentre, Address: c.CallerAddress,
-			Bounds: c.Bounds, Seed: uint64(startTime), StartTime: startTime,
+			Capacity: c.LinkCapacity, Bounds: c.Bounds, Seed: uint64(startTime), StartTime: startTime,
 		}),
 		exchanges:          make(map[id.Request]*exchange),
 		pool:               newPool(),
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"bluebellhold/id"
 	"bluebellhold/internal/entry"
 	"bluebellhold/internal/wire"
@@ -48,6 +50,8 @@
 	isLost bool
 	// followers holds the version that each follower has got.
 	followers map[id.Instance]uint64
+	// packed caches the compressed rows of updates up to version by the version that they follow.
+	packed map[uint64][]byte
 }
 
 // rowsUpdate is a received RowsUpdate.
@@ -62,7 +66,7 @@
 func newRelayedTable(feed store.ChangeFeed, name string) *relayedTable {
 	return &relayedTable{
 		name: name, mirror: store.NewMirror(feed, name), updates: make(chan rowsUpdate, updateQueueLength),
-		changed: make(chan struct{}, 1), followers: make(map[id.Instance]uint64),
+		changed: make(chan struct{}, 1), followers: make(map[id.Instance]uint64), packed: make(map[uint64][]byte),
 	}
 }
 
@@ -76,6 +80,7 @@
 	}
 	t.version, t.readAt, t.isLost = t.mirror.Version(), readAt, false
 	t.log = append(t.log, relevant...)
+	clear(t.packed)
 	if excess := len(t.log) - maxLoggedChanges; excess > 0 {
 		for _, change := range t.log[:excess] {
 			t.logStart = max(t.logStart, change.Version)
@@ -158,15 +163,39 @@
 		// Rows that were written together stay together.
 		if bytes >= maxUpdateBytes && i+1 < len(changes) && changes[i+1].Version != change.Version {
 			next.Version = change.Version
+			t.pack(next)
 			updates = append(updates, next)
 			next, bytes = &wire.RowsUpdate{Table: t.name, After: change.Version}, 0
 		}
 	}
+	t.pack(next)
 	next.Version, next.Age, next.Echo = max(t.version, after), int64(now.Sub(t.readAt)), int64(echo)
 	t.followers[follower] = next.Version
 	return append(updates, next)
 }
 
+// minPackedBytes is the size of the rows from which compressing them pays.
+const minPackedBytes = 1 << 10
+
+// pack compresses the rows of an update. Most followers get the same rows, so these are compressed once. The caller
+// holds mu.
+func (t *relayedTable) pack(u *wire.RowsUpdate) {
+	rows := &wire.RowsUpdate{Rows: u.GetRows()}
+	if proto.Size(rows) < minPackedBytes {
+		return
+	}
+	packed, ok := t.packed[u.GetAfter()]
+	if !ok {
+		var err error
+		if packed, err = compressMessage(rows); err != nil {
+			// The rows are sent as they are.
+			return
+		}
+		t.packed[u.GetAfter()] = packed
+	}
+	u.Rows, u.Packed = nil, packed
+}
+
 // publish sends what the followers have not got yet.
 func (f *follower) publish(t *relayedTable) {
 	for _, name := range t.followerNames() {
@@ -241,7 +270,16 @@
 	update := rowsUpdate{
 		from: from, after: u.GetAfter(), isReload: u.GetReload(), changes: store.ChangeSet{Version: u.GetVersion()},
 	}
-	for _, r := range u.GetRows() {
+	rows := u.GetRows()
+	if len(u.GetPacked()) > 0 {
+		var unpacked wire.RowsUpdate
+		if err := decompressMessage(u.GetPacked(), &unpacked); err != nil {
+			f.log.Warn("relay: an update can't be decompressed", "table", t.name, "from", from, "error", err)
+			return
+		}
+		rows = unpacked.GetRows()
+	}
+	for _, r := range rows {
 		update.changes.Rows = append(update.changes.Rows, store.Change{
 			Name: r.GetName(), Version: r.GetVersion(), Value: r.GetValue(), Deleted: r.GetDeleted(),
 		})
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -19,6 +19,9 @@
 	maxMemoryMiB = 1 << 20
 )
 
+// maxLinkMbps is the maximum of Entry.LinkMbps.
+const maxLinkMbps = 1e6
+
 // Entry contains the settings of an instance that reads its configuration from the platform's store.
 type Entry struct {
 	Name       id.Instance   `json:"name"`
@@ -33,6 +36,9 @@
 	// PeerAddress accepts sessions of other instances.
 	PeerAddress  string `json:"peers"`
 	StoreAddress string `json:"store"`
+	// LinkMbps is the bandwidth in Mbit/s of the link that callers, upstreams and other instances share; zero means
+	// unknown. The instances with the fastest links coordinate the others.
+	LinkMbps float64 `json:"link,omitempty"`
 	// MemoryMiB is the memory in MiB that the process may use.
 	MemoryMiB int64  `json:"memory"`
 	Bounds    Bounds `json:"bounds"`
@@ -117,6 +123,9 @@
 			c.Report(a.path, strconv.Quote(a.address), "an IP number and a port, such as 10.1.2.3:8080")
 		}
 	}
+	if !(s.LinkMbps >= 0 && s.LinkMbps <= maxLinkMbps) {
+		c.Report("link", strconv.FormatFloat(s.LinkMbps, 'g', -1, 64), "a number from 0 to 1000000")
+	}
 	c.checkRange("memory", s.MemoryMiB, minMemoryMiB, maxMemoryMiB)
 	if region := s.RegionByDataCentre[s.DataCentre]; region != s.Region {
 		c.Report("regions", strconv.Quote(string(region))+" for "+string(s.DataCentre), "the region "+string(s.Region))
