Hand a group over without a gap when its coordinator stops or restarts

A stopping coordinator went on asking itself although it gave out nothing any more (25 to 50 refusals a second of its own callers); a restarted one took over again from its deputy, so each restart cost two changes; a killed one was noticed after 1.5 s; and after all had been killed, each took the predecessors of the others for live ones that rank before it.

Ruled out: a reserve of tokens that a successor may spend. With a refill of 1.2 times the rate a bucket holds only 0.2 s of it, so the gap is the missing parts, not the empty bucket.

Change: a stopping instance becomes a member of the next coordinator and keeps lending its part; equal instances coordinate in the order of their start; reports and beats carry the start time; a closed session counts as lost after 0.3 s; leases are 1.2 s; a coordinator without any part lets requests wait instead of refusing them; the heartbeats are read again 0.5 s after a start.

--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -112,7 +112,7 @@
 	// instances use, so that small limits can be divided. The rest covers tokens that were used later than granted, and
 	// requests that ran twice.
 	slackFraction  = 0.6
-	excessFraction = 0.5
+	excessFraction = 0.3
 )
 
 // refillRate returns the rate at which all instances together may admit requests of an organisation for any length of
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -86,6 +86,11 @@
 	Message PeerMessage
 }
 
+// SessionClosed reports that the session with another instance has closed.
+type SessionClosed struct {
+	Instance id.Instance
+}
+
 // Suspended reports that the clock may have missed time: the process was suspended, or the time of day was set.
 type Suspended struct{}
 
@@ -134,6 +139,7 @@
 func (MembersRead) isEvent()          {}
 func (GroupsRead) isEvent()           {}
 func (MessageReceived) isEvent()      {}
+func (SessionClosed) isEvent()        {}
 func (Suspended) isEvent()            {}
 func (RequestArrived) isEvent()       {}
 func (CallerDisconnected) isEvent()   {}
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -14,13 +14,16 @@
 
 const (
 	// reportInterval is the time between two reports of a member to its contacts.
-	reportInterval = 500 * time.Millisecond
+	reportInterval = 400 * time.Millisecond
 	// contactTimeout is the time without a beat after which a contact counts as dead.
-	contactTimeout = 1500 * time.Millisecond
+	contactTimeout = 1100 * time.Millisecond
 	// lendDuration is how long a coordinator may count a member's part of the limits after the beat that the member's
 	// report echoes. It exceeds contactTimeout, so that a member that takes a coordinator for dead lends its part to
 	// another one shortly afterwards.
-	lendDuration = 1600 * time.Millisecond
+	lendDuration = 1200 * time.Millisecond
+	// reconnectTime is how long a member waits for its coordinator after their session has closed: sessions are reset more
+	// often than coordinators die.
+	reconnectTime = 300 * time.Millisecond
 	// sharesInterval is the time between two beats that contain the group's shares of the limits.
 	sharesInterval = 2 * time.Second
 	// liveContacts is the number of live contacts that a member keeps: the coordinator and its deputy.
@@ -47,6 +50,8 @@
 	OfferedLoad map[id.Service]float64
 	PinnedLoad  map[id.Service]map[id.Region]float64
 	Suspects    []retry.Report
+	// StartTime is that of the sender's heartbeats.
+	StartTime int64
 }
 
 // CoordinatorBeat answers the MemberReport with the same stamp.
@@ -60,6 +65,8 @@
 	// LocalShares are the fractions of the objects whose home is in the group's region, per service.
 	LocalShares map[id.Service]float64
 	Suspects    []retry.Report
+	// StartTime is that of the sender's heartbeats.
+	StartTime int64
 }
 
 func (MemberReport) isPeerMessage()    {}
@@ -100,12 +107,25 @@
 	stamp                Stamp
 	receivedAt, echoedAt time.Time
 	isLeaving            bool
+	// closedAt is when the session with it closed, or zero after a later beat.
+	closedAt time.Time
 }
 
 // isAlive reports whether the contact answers reports. The age is that of the report, so a delayed beat is no sign of
 // life.
 func (c *contact) isAlive(now time.Time) bool {
-	return c != nil && !c.isLeaving && !c.echoedAt.IsZero() && now.Sub(c.echoedAt) < contactTimeout
+	return c != nil && !c.isLeaving && c.closedAt.IsZero() && !c.echoedAt.IsZero() && now.Sub(c.echoedAt) < contactTimeout
+}
+
+// isPending reports whether the contact may still answer its first report, or open a session again.
+func (c *contact) isPending(now time.Time, firstTimeout time.Duration) bool {
+	switch {
+	case c.isLeaving:
+		return false
+	case !c.closedAt.IsZero():
+		return now.Sub(c.closedAt) < reconnectTime
+	}
+	return c.echoedAt.IsZero() && now.Sub(c.addedAt) < firstTimeout
 }
 
 // lender is a member that reports to this instance.
@@ -167,19 +187,21 @@
 }
 
 // rankMembers returns the serving members of the group and this instance, in the order in which they coordinate it: those
-// with the most capacity first, and by rendezvous hashing among equals.
+// with the most capacity first, and among equals the oldest processes, so that a restarted one does not take over again
+// at once.
 func (s *State) rankMembers() []id.Instance {
 	own := s.Group()
 	type rank struct {
-		capacity int
-		hash     uint64
+		capacity  int
+		startTime int64
+		hash      uint64
 	}
 	ranked := []id.Instance{s.config.Instance}
-	ranks := map[id.Instance]rank{s.config.Instance: {capacity: s.config.Capacity}}
+	ranks := map[id.Instance]rank{s.config.Instance: {capacity: s.config.Capacity, startTime: s.config.StartTime}}
 	for name, m := range s.membership.members {
 		if m.PeerAddress != "" && !m.Leaving && s.isInGroup(m) {
 			ranked = append(ranked, name)
-			ranks[name] = rank{capacity: m.Capacity}
+			ranks[name] = rank{capacity: m.Capacity, startTime: m.StartTime}
 		}
 	}
 	for name, r := range ranks {
@@ -187,8 +209,8 @@
 		ranks[name] = r
 	}
 	slices.SortFunc(ranked, func(a, b id.Instance) int {
-		return cmp.Or(cmp.Compare(ranks[b].capacity, ranks[a].capacity), cmp.Compare(ranks[b].hash, ranks[a].hash),
-			cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(ranks[b].capacity, ranks[a].capacity),
+			cmp.Compare(ranks[a].startTime, ranks[b].startTime), cmp.Compare(ranks[b].hash, ranks[a].hash))
 	})
 	return ranked
 }
@@ -199,6 +221,9 @@
 	var dialled []Contact
 	live := 0
 	for _, name := range s.group.ranked {
+		if name == s.config.Instance && s.isStopping {
+			continue
+		}
 		if name == s.config.Instance || live == liveContacts || len(dialled) == maxContacts {
 			break
 		}
@@ -238,11 +263,10 @@
 			next, isPending = d.Instance, false
 			break
 		}
-		isPending = isPending || c.echoedAt.IsZero() && !c.isLeaving && s.now.Sub(c.addedAt) < s.firstContactTimeout()
+		isPending = isPending || c.isPending(s.now, s.firstContactTimeout())
 	}
 	if next == s.config.Instance && isPending {
-		// The current coordinator may still be alive.
-		if g.contacts[g.coordinator].isAlive(s.now) || g.coordinator == s.config.Instance {
+		if g.coordinator == s.config.Instance {
 			return
 		}
 		next = ""
@@ -281,8 +305,19 @@
 
 func (s *State) stamp() Stamp { return Stamp(s.now.Sub(s.group.startedAt)) + 1 }
 
+// updateStartTime notices that another instance has restarted before its heartbeat says so. When all instances of a group
+// have restarted, each would otherwise take the predecessors of the others for older than itself.
+func (s *State) updateStartTime(name id.Instance, startTime int64) {
+	if m := s.membership.members[name]; m != nil && startTime != 0 && m.StartTime != startTime {
+		m.StartTime = startTime
+		s.group.ranked = s.rankMembers()
+		s.updateContacts()
+	}
+}
+
 // handleReport records a member's report and answers it.
 func (s *State) handleReport(from id.Instance, r MemberReport) {
+	s.updateStartTime(from, r.StartTime)
 	g := &s.group
 	l := g.lenders[from]
 	if l == nil {
@@ -299,7 +334,7 @@
 	}
 	s.updateFraction()
 	beat := CoordinatorBeat{
-		Stamp: s.stamp(), Echo: r.Stamp, Leaving: s.isStopping, LocalShares: s.LocalShares(),
+		Stamp: s.stamp(), Echo: r.Stamp, Leaving: s.isStopping, StartTime: s.config.StartTime, LocalShares: s.LocalShares(),
 		Suspects: s.crashDetector.suspects.Reports(s.now),
 	}
 	if s.IsCoordinator() && s.now.Sub(l.sharesSentAt) >= sharesInterval && g.shares.hasRead {
@@ -311,13 +346,14 @@
 
 // handleBeat records a contact's beat.
 func (s *State) handleBeat(from id.Instance, b CoordinatorBeat) {
+	s.updateStartTime(from, b.StartTime)
 	g := &s.group
 	c := g.contacts[from]
 	echoedAt := s.timeOf(b.Echo)
 	if c == nil || echoedAt.IsZero() {
 		return
 	}
-	c.stamp, c.receivedAt, c.isLeaving = b.Stamp, s.now, b.Leaving
+	c.stamp, c.receivedAt, c.isLeaving, c.closedAt = b.Stamp, s.now, b.Leaving, time.Time{}
 	c.echoedAt = later(c.echoedAt, echoedAt)
 	if b.Leaving {
 		// A leaving coordinator counts no lent parts any more.
@@ -340,6 +376,14 @@
 	}
 }
 
+// handleSessionClosed records that a session has closed, which a killed process causes at once.
+func (s *State) handleSessionClosed(name id.Instance) {
+	if c := s.group.contacts[name]; c != nil && c.closedAt.IsZero() {
+		c.closedAt = s.now
+		s.updateCoordinator()
+	}
+}
+
 // releasePart allows this instance's part of the limits to be lent again at once.
 func (s *State) releasePart(from id.Instance) {
 	if s.group.shares.lentTo == from {
@@ -358,7 +402,7 @@
 	s.expireLenders()
 	for _, d := range g.dialled {
 		c := g.contacts[d.Instance]
-		report := MemberReport{Stamp: s.stamp(), Echo: c.stamp}
+		report := MemberReport{Stamp: s.stamp(), Echo: c.stamp, StartTime: s.config.StartTime}
 		if d.Instance == g.coordinator {
 			report.OfferedLoad, report.PinnedLoad = s.ownOfferedLoad(s.now), s.ownPinnedLoad(s.now)
 			report.Suspects = s.crashDetector.suspects.Reports(s.now)
@@ -372,7 +416,7 @@
 // latest at lendDuration after the arrival of the beat that the report echoes.
 func (s *State) lendPart(c *contact) bool {
 	g := &s.group
-	if s.isStopping || c.stamp == 0 || g.shares.lentTo != g.coordinator && s.now.Before(g.ownPartFrom) {
+	if c.stamp == 0 || g.shares.lentTo != g.coordinator && s.now.Before(g.ownPartFrom) {
 		return false
 	}
 	g.shares.lentTo = g.coordinator
@@ -392,7 +436,7 @@
 func (s *State) updateFraction() {
 	g := &s.group
 	parts := 0
-	if s.IsCoordinator() && !s.isStopping && !s.now.Before(g.ownPartFrom) {
+	if s.IsCoordinator() && !s.now.Before(g.ownPartFrom) {
 		parts++
 	}
 	for _, l := range g.lenders {
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -129,6 +129,8 @@
 		s.handleGroupsRead(e.Groups)
 	case MessageReceived:
 		s.handleMessage(e.From, e.Message)
+	case SessionClosed:
+		s.handleSessionClosed(e.Instance)
 	case Suspended:
 		s.suspend()
 	case StopRequested:
@@ -163,14 +165,17 @@
 }
 
 // stop ends the coordination of the group: the parts that the members lent are given out no more, and the beats that
-// say so let the members lend them to another coordinator at once.
+// say so let the members lend them to another coordinator at once. This instance becomes a member of that one.
 func (s *State) stop() {
 	s.isStopping = true
-	for name, l := range s.group.lenders {
+	for _, name := range slices.Sorted(maps.Keys(s.group.lenders)) {
+		l := s.group.lenders[name]
 		l.lendsUntil = time.Time{}
-		s.emit(Send{To: name, Message: CoordinatorBeat{Stamp: s.stamp(), Echo: l.stamp, Leaving: true}})
+		s.emit(Send{To: name, Message: CoordinatorBeat{Stamp: s.stamp(), Echo: l.stamp, Leaving: true, StartTime: s.config.StartTime}})
 	}
 	s.updateFraction()
+	s.group.nextReportAt = s.now
+	s.sendReports()
 }
 
 // IsReady reports whether the instance can serve callers.
--- a/internal/entry/token.go
+++ b/internal/entry/token.go
@@ -95,14 +95,19 @@
 		return tokenTaken, time.Time{}
 	}
 	o.demand.add(s.now, 1)
+	t := &o.stock
 	if s.IsCoordinator() {
 		o.groupDemand.add(s.now, 1)
-		if o.bucket.Take(s.now, 1) == 1 {
+		switch {
+		case o.bucket.Take(s.now, 1) == 1:
 			return tokenTaken, time.Time{}
+		case o.bucket.Rate() > 0:
+			return tokenRefused, s.rateRetryAt(o)
 		}
-		return tokenRefused, s.rateRetryAt(o)
+		// A new coordinator gets parts of the limit within lendDuration.
+		s.awaitToken(r, t)
+		return tokenPending, time.Time{}
 	}
-	t := &o.stock
 	t.arrivals++
 	t.expire(s.now)
 	switch {
@@ -112,11 +117,16 @@
 	case s.now.Before(t.rejectedUntil):
 		return tokenRefused, t.rejectedUntil
 	}
+	s.awaitToken(r, t)
+	s.ask(r.organisation, o, 1)
+	return tokenPending, time.Time{}
+}
+
+// awaitToken lets a request wait for a token.
+func (s *State) awaitToken(r *request, t *tokenStock) {
 	wait := min(maxTokenWait, time.Duration(maxTokenWaitFraction*float64(r.route.LatencyObjective)))
 	t.waiting = append(t.waiting, waitingRequest{r.id, s.now.Add(wait)})
 	s.tokenWaiters[r.organisation] = true
-	s.ask(r.organisation, o, 1)
-	return tokenPending, time.Time{}
 }
 
 // expire moves expired tokens to those that are returned to the coordinator.
@@ -145,20 +155,25 @@
 	t.arrivals, t.returned = 0, 0
 }
 
-// handleTokenRequest grants what the bucket holds.
+// handleTokenRequest grants what the bucket holds. A new coordinator that has no part of the limit yet does not answer;
+// the member repeats the request.
 func (s *State) handleTokenRequest(from id.Instance, e TokenRequest) {
-	grant := TokenGrant{Sequence: e.Sequence, Organisation: e.Organisation, RetryAfter: noCoordinatorRetryDelay}
-	if o := s.organisations[e.Organisation]; o != nil && e.Tokens > 0 && e.Tokens <= maxTokensPerRequest {
-		if s.configuration.Organisations[e.Organisation].Rate <= 0 {
-			// The member has an older configuration.
-			grant.Tokens = e.Tokens
-		} else {
-			o.groupDemand.add(s.now, float64(min(max(e.Arrivals, 0), maxTokensPerRequest)))
-			o.bucket.Return(s.now, min(max(e.Returned, 0), maxTokensPerRequest))
-			grant.Tokens = o.bucket.Take(s.now, e.Tokens)
-			if grant.Tokens == 0 {
-				grant.RetryAfter = s.rateRetryAt(o).Sub(s.now)
-			}
+	o := s.organisations[e.Organisation]
+	if o == nil || e.Tokens <= 0 || e.Tokens > maxTokensPerRequest {
+		return
+	}
+	grant := TokenGrant{Sequence: e.Sequence, Organisation: e.Organisation}
+	switch {
+	case s.configuration.Organisations[e.Organisation].Rate <= 0:
+		// The member has an older configuration.
+		grant.Tokens = e.Tokens
+	case o.bucket.Rate() == 0:
+		return
+	default:
+		o.groupDemand.add(s.now, float64(min(max(e.Arrivals, 0), maxTokensPerRequest)))
+		o.bucket.Return(s.now, min(max(e.Returned, 0), maxTokensPerRequest))
+		if grant.Tokens = o.bucket.Take(s.now, e.Tokens); grant.Tokens == 0 {
+			grant.RetryAfter = s.rateRetryAt(o).Sub(s.now)
 		}
 	}
 	s.emit(Send{To: from, Message: grant})
--- a/internal/ingress/follower.go
+++ b/internal/ingress/follower.go
@@ -112,12 +112,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
+	case len(f.heartbeatReads) <= 1:
+		return joinInterval
 	case f.state.HasJoined():
 		return heartbeatInterval
-	case len(f.heartbeatReads) > 1:
-		return 2 * joinInterval
 	}
-	return joinInterval
+	return 2 * joinInterval
 }
 
 // followedTable is how one table is followed.
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -14,12 +14,13 @@
 	switch m := m.(type) {
 	case entry.MemberReport:
 		return &wire.Envelope{Payload: &wire.Envelope_MemberReport{MemberReport: &wire.MemberReport{
-			Stamp: int64(m.Stamp), Echo: int64(m.Echo), Lends: m.Lends,
+			Stamp: int64(m.Stamp), Echo: int64(m.Echo), Lends: m.Lends, Started: m.StartTime,
 			Loads: encodeLoads(m.OfferedLoad, m.PinnedLoad), Suspects: encodeSuspects(m.Suspects),
 		}}}
 	case entry.CoordinatorBeat:
 		beat := &wire.CoordinatorBeat{
 			Stamp: int64(m.Stamp), Echo: int64(m.Echo), Leaving: m.Leaving, Suspects: encodeSuspects(m.Suspects),
+			Started: m.StartTime,
 		}
 		for name, share := range m.Shares {
 			beat.Shares = append(beat.Shares, &wire.Share{Name: string(name), Share: share})
@@ -69,7 +70,7 @@
 	report := entry.MemberReport{
 		Stamp: entry.Stamp(r.GetStamp()), Echo: entry.Stamp(r.GetEcho()), Lends: r.GetLends(),
 		OfferedLoad: make(map[id.Service]float64), PinnedLoad: make(map[id.Service]map[id.Region]float64),
-		Suspects: decodeSuspects(r.GetSuspects()),
+		Suspects: decodeSuspects(r.GetSuspects()), StartTime: r.GetStarted(),
 	}
 	for _, l := range r.GetLoads() {
 		service, slots := id.Service(l.GetService()), l.GetSlots()
@@ -95,6 +96,7 @@
 	beat := entry.CoordinatorBeat{
 		Stamp: entry.Stamp(b.GetStamp()), Echo: entry.Stamp(b.GetEcho()), Leaving: b.GetLeaving(),
 		LocalShares: make(map[id.Service]float64), Suspects: decodeSuspects(b.GetSuspects()),
+		StartTime: b.GetStarted(),
 	}
 	for _, s := range b.GetShares() {
 		if beat.Shares == nil {
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -107,7 +107,9 @@
 		close(s.done)
 		unsent := len(s.messages.closeAndPopAll()) + len(s.epochs.closeAndPopAll())
 		s.transport.counters.dropped.Inc(int64(unsent))
-		s.transport.uninstall(s)
+		if s.transport.uninstall(s) {
+			s.transport.config.OnClosed(s.peer)
+		}
 		s.transport.log.Info("session closed", "peer", s.peer, "incarnation", s.incarnation, "err", cause)
 		s.mux.Close()
 	})
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -196,16 +196,17 @@
 	return nil
 }
 
-// uninstall removes s when it closes.
-func (t *Transport) uninstall(s *session) {
+// uninstall removes s when it closes, and reports whether it was the session with its peer.
+func (t *Transport) uninstall(s *session) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.counters.sessions.Dec(1)
 	p := t.peers[s.peer]
 	if p == nil || p.session != s {
-		return
+		return false
 	}
 	p.session = nil
 	p.signal()
 	t.removeIfUnused(p)
+	return true
 }
