Identify the restart of a stand-in by a number instead of its timer

Cause: TestCrash reported a data race about once in 300 runs. The function of a timer without an outage ran before the variable that it reads was assigned.

--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -23,6 +23,7 @@
 	address      string
 	server       *http.Server
 	cancel       context.CancelFunc
+	outages      uint64 // number of outages with a restart so far
 	restartTimer *time.Timer
 	closed       bool
 }
@@ -80,21 +81,22 @@
 		return false
 	}
 	e.stopServer()
-	var timer *time.Timer
-	timer = time.AfterFunc(outage, func() {
-		if e.isPending(timer) {
+	// The function may run before AfterFunc returns, so it cannot identify its outage by the timer.
+	e.outages++
+	outageNumber := e.outages
+	e.restartTimer = time.AfterFunc(outage, func() {
+		if e.isPending(outageNumber) {
 			restart()
 		}
 	})
-	e.restartTimer = timer
 	return true
 }
 
-// isPending reports whether timer is still the restart timer, which a later change replaces or cancels.
-func (e *endpoint) isPending(timer *time.Timer) bool {
+// isPending reports whether the restart after an outage is still due; a later change replaces or cancels it.
+func (e *endpoint) isPending(outageNumber uint64) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.restartTimer == timer
+	return e.restartTimer != nil && e.outages == outageNumber
 }
 
 // close stops the server permanently.
