Cut off a response head without end

Cause: http.ReadResponse reads a status line, a header line or header lines of any length.

Change: the head of a response, with the interim responses before it, has at most 64 KiB; the attempt then counts as broken.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -151,7 +151,9 @@
 // earlier request on a connection that has been reused since; the matching response follows it.
 func (x *exchange) readMatchingResponse(c *upstreamConnection) (parsedResponse, error) {
 	for range maxResponses {
+		c.head.startHead()
 		response, err := readFinalResponse(c.reader, x.r)
+		c.head.endHead()
 		if err != nil {
 			return parsedResponse{}, err
 		}
@@ -247,12 +249,12 @@
 	return "ingress: unexpected response with status " + strconv.Itoa(e.Status)
 }
 
-// ResponseTooLargeError reports a response body above the limit.
+// ResponseTooLargeError reports a head or a body of a response above the limit.
 type ResponseTooLargeError struct {
 	Limit int64
 }
 
 // Error returns the limit.
 func (e *ResponseTooLargeError) Error() string {
-	return "ingress: response body exceeds " + strconv.FormatInt(e.Limit, 10) + " bytes"
+	return "ingress: head or body of the response exceeds " + strconv.FormatInt(e.Limit, 10) + " bytes"
 }
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -46,8 +47,10 @@
 
 // upstreamConnection is a connection to an upstream. It carries one request at a time.
 type upstreamConnection struct {
-	conn     *net.TCPConn
+	conn *net.TCPConn
+	// reader reads through head, which bounds the head of a response.
 	reader   *bufio.Reader
+	head     *headReader
 	isReused bool
 	// expiresAt is when the connection may no longer be reused.
 	expiresAt time.Time
@@ -139,12 +142,42 @@
 	if err != nil {
 		return nil, err
 	}
+	head := &headReader{source: conn}
 	return &upstreamConnection{
-		conn: conn.(*net.TCPConn), reader: bufio.NewReaderSize(conn, readBufferSize),
+		conn: conn.(*net.TCPConn), reader: bufio.NewReaderSize(head, readBufferSize), head: head,
 		expiresAt: time.Now().Add(defaultIdleTimeout),
 	}, nil
 }
 
+// headReader reads from a connection and bounds the bytes of a response's head, since http.ReadResponse does not: a sick
+// upstream may send a head without end.
+type headReader struct {
+	source io.Reader
+	// isHead is set while a head is read, and remaining is what it may still have.
+	isHead    bool
+	remaining int64
+}
+
+// maxResponseHeadBytes is the longest head of a response, with the interim responses before it.
+const maxResponseHeadBytes = 64 << 10
+
+func (r *headReader) startHead() { r.isHead, r.remaining = true, maxResponseHeadBytes }
+
+func (r *headReader) endHead() { r.isHead = false }
+
+// Read reads from the source. It returns a ResponseTooLargeError for a head that exceeds maxResponseHeadBytes.
+func (r *headReader) Read(p []byte) (int, error) {
+	if !r.isHead {
+		return r.source.Read(p)
+	}
+	if r.remaining <= 0 {
+		return 0, &ResponseTooLargeError{Limit: maxResponseHeadBytes}
+	}
+	n, err := r.source.Read(p[:min(int64(len(p)), r.remaining)])
+	r.remaining -= int64(n)
+	return n, err
+}
+
 // sockoptTCPUserTimeout is the Linux socket option TCP_USER_TIMEOUT, which package syscall does not define.
 const sockoptTCPUserTimeout = 18
 
