--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -296,7 +296,7 @@
 // timeOf converts a stamp of this instance's clock, which another instance returned; zero if there is none. A stamp
 // from the future is not one of this process.
 func (s *State) timeOf(stamp Stamp) time.Time {
-	at := s.group.startedAt.Add(time.Duration(stamp))
+	at := s.group.startedAt.Add(time.Duration(stamp - 1))
 	if stamp <= 0 || at.After(s.now) {
 		return time.Time{}
 	}
--- /dev/null
+++ b/internal/ingress/message_test.go
@@ -0,0 +1,58 @@
+package ingress_test
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"bluebellhold/id"
+	"bluebellhold/internal/entry"
+	"bluebellhold/internal/ingress"
+	"bluebellhold/internal/wire"
+)
+
+// Guards against a message of another instance that ends the process: whatever can be decoded is passed to a coordinator
+// and to a member.
+func FuzzMessages(f *testing.F) {
+	for _, m := range []*wire.Envelope{
+		{Payload: &wire.Envelope_MemberReport{MemberReport: &wire.MemberReport{
+			Stamp: 3, Echo: 2, Lends: true, Loads: []*wire.OfferedLoad{{Service: "pregled", Region: "koper", Slots: 2}},
+			Suspects: []*wire.Suspect{{Digest: make([]byte, 32), Upstreams: []string{"u"}}},
+		}}},
+		{Payload: &wire.Envelope_CoordinatorBeat{CoordinatorBeat: &wire.CoordinatorBeat{
+			Stamp: 3, Echo: 2, Shares: []*wire.Share{{Name: "school", Share: 0.5}}, Local: []*wire.Share{{Name: "pregled", Share: 2}},
+		}}},
+		{Payload: &wire.Envelope_TokenRequest{TokenRequest: &wire.TokenRequest{Organisation: "school", Tokens: 1 << 31}}},
+		{Payload: &wire.Envelope_TokenGrant{TokenGrant: &wire.TokenGrant{Organisation: "school", Tokens: 3, Retryafter: -1}}},
+	} {
+		encoded, err := proto.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(encoded)
+	}
+	f.Fuzz(func(_ *testing.T, encoded []byte) {
+		var envelope wire.Envelope
+		if proto.Unmarshal(encoded, &envelope) != nil {
+			return
+		}
+		message := ingress.DecodeMessage(&envelope)
+		if message == nil {
+			return
+		}
+		now := time.Unix(1000, 0)
+		s := entry.New(entry.Config{Instance: "osrednja-1", Region: "osrednja", DataCentre: "osrednja-a", StartTime: 1})
+		s.Reduce(now, entry.ConfigurationChanged{Configuration: entry.Configuration{
+			Version: 1, Organisations: map[id.Organisation]entry.Organisation{"school": {Rate: 10}},
+		}})
+		s.Reduce(now, entry.MembersRead{Members: []entry.Member{
+			{Instance: "osrednja-2", Region: "osrednja", PeerAddress: "10.0.0.1:80", Version: 1, StartTime: -1},
+		}})
+		for _, from := range []id.Instance{"osrednja-2", "osrednja-3"} {
+			now = now.Add(time.Second)
+			s.Reduce(now, entry.MessageReceived{From: from, Message: message})
+			s.Reduce(now, entry.Tick{})
+		}
+	})
+}
