Remove an upstream that left during an outage when its time is over

The removal waits 2.2 s for a live upstream to write its row again; a member looked at it only with the next relayed change, up to 2.4 s later.

Ruled out: a lost update; the row was removed, not marked as draining, and the first read after the return had it.

Change: the removal has a timer of its own. The new test takes 3 s with an interval of 3 s between reads before the change, at most 2.9 s are allowed.

--- a/internal/ingress/follower.go
+++ b/internal/ingress/follower.go
@@ -85,6 +85,7 @@
 	f.follow(ctx, upstreams, followedTable{
 		read: f.readUpstreams, apply: f.applyUpstreamChanges,
 		interval: f.upstreamPollInterval, maxAge: f.upstreamPollInterval() + relayMargin, confirms: operator,
+		nextDue: f.nextRemoval, handleDue: f.removeDueUpstreams,
 	})
 	f.follow(ctx, f.tables[f.config.Tables.Members], followedTable{
 		read: f.heartbeat, apply: f.applyHeartbeatChanges, trigger: f.heartbeatRequested,
@@ -94,15 +95,22 @@
 	f.goroutines.Go(func() { f.openSessions(ctx) })
 }
 
-// upstreamPollInterval returns the time between two reads of the upstreams' rows: in time to notice drains, and no
-// later than the next pending removal.
+// upstreamPollInterval returns the time between two reads of the upstreams' rows: in time to notice drains.
 func (f *follower) upstreamPollInterval() time.Duration {
 	interval := time.Duration(upstreamPollFraction * float64(f.config.Bounds.MaxDrainDelay))
 	interval = min(max(interval, minUpstreamPollInterval), maxUpstreamPollInterval)
+	return interval
+}
+
+// nextRemoval returns when the next pending removal of an upstream is due, or zero if there is none.
+func (f *follower) nextRemoval() time.Time {
+	var next time.Time
 	for _, removeAt := range f.pendingRemovals {
-		interval = min(interval, max(time.Until(removeAt), 0))
+		if next.IsZero() || removeAt.Before(next) {
+			next = removeAt
+		}
 	}
-	return interval
+	return next
 }
 
 // heartbeatPause returns the time between two heartbeats. It is shorter while the instance has not joined, which it does
@@ -134,10 +142,25 @@
 	maxWait time.Duration
 	// confirms is a table whose reads wait for changes; a read of this table shows that the store would have answered.
 	confirms *relayedTable
+	// handleDue is called at the time that nextDue returns unless that is zero; nil means never.
+	nextDue   func() time.Time
+	handleDue func()
 	// trigger causes a read ahead of schedule; nil means never.
 	trigger <-chan struct{}
 }
 
+// dueTimer returns a channel that receives when nextDue is reached, or nil.
+func (p followedTable) dueTimer() <-chan time.Time {
+	if p.nextDue == nil {
+		return nil
+	}
+	next := p.nextDue()
+	if next.IsZero() {
+		return nil
+	}
+	return time.After(time.Until(next))
+}
+
 // needsOwnReads reports whether this instance has to read the table even while the coordinator relays it.
 func (f *follower) needsOwnReads(t *relayedTable) bool {
 	if t.name != f.config.Tables.Members {
@@ -176,6 +199,8 @@
 		for ctx.Err() == nil {
 			timer := time.NewTimer(time.Until(later(f.nextRead(t, p, startedAt), notBefore)))
 			select {
+			case <-p.dueTimer():
+				p.handleDue()
 			case u := <-t.updates:
 				f.applyUpdate(t, u, p.apply)
 			case <-t.changed:
@@ -311,6 +336,24 @@
 			relevant = append(relevant, change)
 		}
 	}
+	if hasChanged {
+		f.postUpstreams()
+	}
+	f.removeDueUpstreams()
+	return relevant
+}
+
+func (f *follower) postUpstreams() {
+	list := make([]entry.Upstream, 0, len(f.knownUpstreams))
+	for _, u := range f.knownUpstreams {
+		list = append(list, u)
+	}
+	f.Post(entry.UpstreamsChanged{Upstreams: list})
+}
+
+// removeDueUpstreams removes the upstreams whose rows have not come back in time after an outage of the store.
+func (f *follower) removeDueUpstreams() {
+	now, hasChanged := time.Now(), false
 	for name, removeAt := range f.pendingRemovals {
 		if !now.Before(removeAt) {
 			delete(f.pendingRemovals, name)
@@ -319,13 +362,8 @@
 		}
 	}
 	if hasChanged {
-		list := make([]entry.Upstream, 0, len(f.knownUpstreams))
-		for _, u := range f.knownUpstreams {
-			list = append(list, u)
-		}
-		f.Post(entry.UpstreamsChanged{Upstreams: list})
+		f.postUpstreams()
 	}
-	return relevant
 }
 
 // applyUpstreamChange applies the change of one row and reports whether the list of upstreams has changed.
--- a/internal/ingress/group_test.go
+++ b/internal/ingress/group_test.go
@@ -74,8 +74,9 @@
 }
 
 // newGroup starts two instances of a region. The older one coordinates.
-func newGroup(t *testing.T) *group {
-	const maxDrainDelay = 2500 * time.Millisecond
+func newGroup(t *testing.T) *group { return newGroupWithDrainDelay(t, 2500*time.Millisecond) }
+
+func newGroupWithDrainDelay(t *testing.T, maxDrainDelay time.Duration) *group {
 	h := &harness{T: t, feed: &memoryFeed{}, address: freeAddress(t), log: &lockedBuffer{}, client: &http.Client{}}
 	h.serveUpstream("u0", serveWith(func(r *http.Request) string { return responseTo(r, "ok") }))
 	h.feed.put(platform.OperatorTable, "config", documentVersion(7, "secret-key"))
@@ -129,6 +130,21 @@
 	g.member.requireStatusWithin(2500*time.Millisecond, http.StatusServiceUnavailable, "the bound for a drain")
 }
 
+// Guards against an upstream that left during an outage of the store and is used until the next relayed change: on the
+// large scale-2, instances that had been cut off sent to it 4.1 s after their return.
+func TestUpstreamRemovedDuringOutageExpiresInTime(t *testing.T) {
+	t.Parallel()
+	g := newGroupWithDrainDelay(t, 5*time.Second)
+	time.Sleep(time.Second)
+	g.feed.setDown(true)
+	g.feed.remove(platform.ServersTable, "u0")
+	time.Sleep(8 * time.Second) // longer than outageThreshold
+	g.feed.setDown(false)
+	const bound = 2900 * time.Millisecond // a retry of the read, the time that a live upstream has, and a margin
+	g.requireStatusWithin(bound, http.StatusServiceUnavailable, "the coordinator")
+	g.member.requireStatusWithin(500*time.Millisecond, http.StatusServiceUnavailable, "the member")
+}
+
 // Guards against a member that waits for a coordinator which has stopped.
 func TestMemberCoordinatesItselfAfterAStop(t *testing.T) {
 	t.Parallel()
