Send each suspect once, and keep it out of members' heartbeats

Each of 118 heartbeats held the same 64 requests that may crash upstreams, some 8 kB; so did each beat to 39 members, each 0.4 s.

Ruled out: the rows of upstreams (131 kB) and of the operator (54 kB), which were read in half a second.

Change: a member reports suspects to its coordinator and leaves them out of its heartbeat; reports and beats hold only what has changed since the last one in the same session.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -77,11 +77,44 @@
 	return isRefused
 }
 
-// Suspects returns the requests that crash upstreams, for this instance's heartbeat.
+// Suspects returns the requests that crash upstreams, for this instance's heartbeat. A member reports them to
+// its coordinator instead: all of them know the same, and the heartbeats of a large fleet would exceed what an instance
+// can read in a second.
 func (s *State) Suspects(now time.Time) []retry.Report {
+	if !s.IsCoordinator() {
+		return nil
+	}
 	return s.crashDetector.suspects.Reports(now)
 }
 
+// suspectReports remembers what another instance has been told about the suspects.
+type suspectReports map[id.Digest]int
+
+// completed is the value for a suspect that has completed since.
+const completed = -1
+
+// changes returns the suspects that the other instance does not know as they are now, and remembers that it does.
+func (r suspectReports) changes(current []retry.Report) []retry.Report {
+	var changed []retry.Report
+	for _, report := range current {
+		state := len(report.Upstreams)
+		if state == 0 {
+			state = completed
+		}
+		if r[report.Digest] != state {
+			r[report.Digest] = state
+			changed = append(changed, report)
+		}
+	}
+	if len(r) > maxRememberedSuspects {
+		clear(r)
+	}
+	return changed
+}
+
+// maxRememberedSuspects bounds a suspectReports; when it is full, all suspects are reported again.
+const maxRememberedSuspects = 1024
+
 // mergeSuspects merges the suspects that the other instances report.
 func (s *State) mergeSuspects(heartbeats []Member) {
 	for _, h := range heartbeats {
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -109,6 +109,7 @@
 	isLeaving            bool
 	// closedAt is when the session with it closed, or zero after a later beat.
 	closedAt time.Time
+	suspects suspectReports
 }
 
 // isAlive reports whether the contact answers reports. The age is that of the report, so a delayed beat is no sign of
@@ -141,6 +142,7 @@
 	pinnedLoad  map[id.Service]map[id.Region]float64
 	// sharesSentAt is when it last got the group's shares.
 	sharesSentAt time.Time
+	suspects     suspectReports
 }
 
 func newGroup() group {
@@ -229,7 +231,7 @@
 		}
 		c := g.contacts[name]
 		if c == nil {
-			c = &contact{addedAt: s.now}
+			c = &contact{addedAt: s.now, suspects: make(suspectReports)}
 			g.contacts[name] = c
 		}
 		if c.isAlive(s.now) || s.now.Sub(c.addedAt) < contactTimeout {
@@ -321,7 +323,7 @@
 	g := &s.group
 	l := g.lenders[from]
 	if l == nil {
-		l = &lender{}
+		l = &lender{suspects: make(suspectReports)}
 		g.lenders[from] = l
 	}
 	l.stamp, l.reportedAt, l.offeredLoad, l.pinnedLoad = r.Stamp, s.now, r.OfferedLoad, r.PinnedLoad
@@ -335,7 +337,7 @@
 	s.updateFraction()
 	beat := CoordinatorBeat{
 		Stamp: s.stamp(), Echo: r.Stamp, Leaving: s.isStopping, StartTime: s.config.StartTime, LocalShares: s.LocalShares(),
-		Suspects: s.crashDetector.suspects.Reports(s.now),
+		Suspects: l.suspects.changes(s.crashDetector.suspects.Reports(s.now)),
 	}
 	if s.IsCoordinator() && s.now.Sub(l.sharesSentAt) >= sharesInterval && g.shares.hasRead {
 		l.sharesSentAt = s.now
@@ -376,9 +378,13 @@
 	}
 }
 
-// handleSessionOpened reports to a contact as soon as it can be reached.
+// handleSessionOpened reports to a contact as soon as it can be reached. What was sent in an earlier session may be lost.
 func (s *State) handleSessionOpened(name id.Instance) {
-	if s.group.contacts[name] != nil {
+	if l := s.group.lenders[name]; l != nil {
+		clear(l.suspects)
+	}
+	if c := s.group.contacts[name]; c != nil {
+		clear(c.suspects)
 		s.group.nextReportAt = s.now
 		s.sendReports()
 	}
@@ -413,7 +419,7 @@
 		report := MemberReport{Stamp: s.stamp(), Echo: c.stamp, StartTime: s.config.StartTime}
 		if d.Instance == g.coordinator {
 			report.OfferedLoad, report.PinnedLoad = s.ownOfferedLoad(s.now), s.ownPinnedLoad(s.now)
-			report.Suspects = s.crashDetector.suspects.Reports(s.now)
+			report.Suspects = c.suspects.changes(s.crashDetector.suspects.Reports(s.now))
 			report.Lends = s.lendPart(c)
 		}
 		s.emit(Send{To: d.Instance, Message: report})
@@ -546,7 +552,7 @@
 	g.ownPartFrom = s.now.Add(lendDuration)
 	g.shares.lentTo = ""
 	for _, c := range g.contacts {
-		*c = contact{addedAt: s.now}
+		*c = contact{addedAt: s.now, suspects: make(suspectReports)}
 	}
 	for _, o := range s.organisations {
 		o.bucket.Drain(s.now)
--- a/internal/entry/group_test.go
+++ b/internal/entry/group_test.go
@@ -8,6 +8,7 @@
 
 	"bluebellhold/id"
 	"bluebellhold/internal/entry"
+	"bluebellhold/retry"
 )
 
 // groupMember returns the heartbeat of an instance of the harness's group; those with a lower start time coordinate it.
@@ -182,3 +183,19 @@
 	require.True(t, h.state.IsCoordinator())
 	require.InDelta(t, 10, h.admittedIn(2*time.Second), 2)
 }
+
+// Guards against reports that repeat all suspects: with 64 of them, the heartbeats of 118 instances took more than a
+// second to read, and instances that had restarted refused their callers for nine seconds (large trouble-3).
+func TestSuspectsAreSentOnce(t *testing.T) {
+	h := newCoordinator(t)
+	suspect := retry.Report{Digest: id.DigestOf([]byte("request")), Upstreams: []id.Upstream{"u1"}, Age: time.Second}
+	h.reduce(entry.MessageReceived{From: "osrednja-3", Message: entry.MemberReport{Stamp: 1, Suspects: []retry.Report{suspect}}})
+	require.Len(t, h.report(0, false).Suspects, 1)
+	require.Empty(t, h.report(0, false).Suspects, "the member knows it")
+	h.reduce(entry.SessionOpened{Instance: "osrednja-2"})
+	require.Len(t, h.report(0, false).Suspects, 1, "it may have been lost with the session")
+	suspect.Upstreams = append(suspect.Upstreams, "u2")
+	h.reduce(entry.MessageReceived{From: "osrednja-3", Message: entry.MemberReport{Stamp: 1, Suspects: []retry.Report{suspect}}})
+	require.Len(t, h.report(0, false).Suspects, 1, "it has crashed another upstream")
+	require.Len(t, h.state.Suspects(h.now), 1, "in the coordinator's heartbeat")
+}
