Never bring back a row that a relayed change is older than

Cause: a member that had read the store itself could then get the answer to an earlier request for rows. A row in it that had been deleted since was taken for a new one, so that an upstream that had left would have been used again.

Change: rows up to the version of the copy are skipped, since the copy is complete up to it.

--- a/internal/entry/group_test.go
+++ b/internal/entry/group_test.go
@@ -199,3 +199,27 @@
 	require.Len(t, h.report(0, false).Suspects, 1, "it has crashed another upstream")
 	require.Len(t, h.state.Suspects(h.now), 1, "in the coordinator's heartbeat")
 }
+
+// Guards against a change of the configuration that ends the process while requests wait for tokens, and against requests
+// that then wait for an organisation or a service that is gone.
+func TestRequestsThatWaitForTokensSurviveAChange(t *testing.T) {
+	h := newHarness(t)
+	h.limitRate(2, 10, 10)
+	_, effects := h.sendRequest("/look/1")
+	require.Empty(t, effects, "no share has been claimed yet")
+	h.limitRate(3, 10, 10)
+	c := configuration()
+	c.Version = 4
+	delete(c.Organisations, "school")
+	effects = h.reduce(entry.ConfigurationChanged{Configuration: c})
+	require.Equal(t, entry.CodeInvalidKey, requireRefusal(t, effects).Code)
+	h.limitRate(5, 10, 10)
+	_, effects = h.sendRequest("/look/1")
+	require.Empty(t, effects)
+	c = configuration()
+	c.Version, c.Routes, c.Services = 6, nil, nil
+	c.Organisations["school"] = entry.Organisation{}
+	h.reduce(entry.ConfigurationChanged{Configuration: c})
+	h.now = h.now.Add(60 * time.Millisecond)
+	require.Equal(t, entry.CodeNoUpstream, requireRefusal(t, h.reduce(entry.Tick{})).Code)
+}
--- a/store/mirror.go
+++ b/store/mirror.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 )
 
@@ -85,8 +86,11 @@
 	if !m.isLoaded || after > m.version {
 		return nil, false
 	}
+	// The copy is complete up to its version: an older row is known, or has been deleted since.
+	known := m.version
+	rows := slices.DeleteFunc(slices.Clone(changes.Rows), func(row Change) bool { return row.Version <= known })
 	m.version = max(m.version, changes.Version)
-	return m.apply(changes.Rows), true
+	return m.apply(rows), true
 }
 
 // IsLoaded reports whether the table has been read.
--- a/store/mirror_test.go
+++ b/store/mirror_test.go
@@ -91,3 +91,25 @@
 	refresh(t, m)
 	require.Empty(t, refresh(t, m))
 }
+
+// Guards against changes of a stale reader that bring back a row which has been deleted since, or leave out changes.
+func TestRelayedChangesNeedTheirVersion(t *testing.T) {
+	feed := &scriptedFeed{snapshots: []scriptedResponse{
+		{ChangeSet: store.ChangeSet{Version: 5, Rows: []store.Change{row("a", 3), row("b", 4)}}},
+	}}
+	m := store.NewMirror(feed, "rows")
+	_, ok := m.Apply(0, store.ChangeSet{Version: 9})
+	require.False(t, ok, "nothing has been loaded")
+	refresh(t, m)
+	_, ok = m.Apply(6, store.ChangeSet{Version: 8, Rows: []store.Change{row("c", 8)}})
+	require.False(t, ok, "changes are missing")
+	require.Equal(t, uint64(5), m.Version())
+	applied, ok := m.Apply(5, store.ChangeSet{Version: 7, Rows: []store.Change{{Name: "a", Version: 7, Deleted: true}}})
+	require.True(t, ok)
+	require.Len(t, applied, 1)
+	applied, ok = m.Apply(2, store.ChangeSet{Version: 6, Rows: []store.Change{row("b", 4), row("a", 6)}})
+	require.True(t, ok)
+	require.Empty(t, applied, "one is known, the other has been deleted since")
+	require.NotContains(t, m.Rows(), "a")
+	require.Equal(t, uint64(7), m.Version(), "the version never goes back")
+}
