--- a/internal/ingress/follower.go
+++ b/internal/ingress/follower.go
@@ -174,86 +174,101 @@
 // followerPause is how long a member waits for the coordinator's answer to a request for rows before it reads the store.
 const followerPause = 600 * time.Millisecond
 
-// nextRead returns when a table is read next. startedAt is when the last read started.
-func (f *follower) nextRead(t *relayedTable, p followedTable, startedAt time.Time) time.Time {
-	next := startedAt.Add(p.interval())
+// pollState is the state of the goroutine that keeps a table up to date.
+type pollState struct {
+	// startedAt is when the last successful read started, or zero after a failed one.
+	startedAt time.Time
+	// notBefore is the earliest time of the next read.
+	notBefore time.Time
+	// outageStart is when reads began to fail, or zero.
+	outageStart time.Time
+}
+
+// pause returns the time until a table is read next.
+func (f *follower) pause(t *relayedTable, p followedTable, s *pollState) time.Duration {
+	pause := max(time.Until(s.startedAt.Add(p.interval())), time.Until(s.notBefore))
 	if f.relaySource() == "" || f.needsOwnReads(t) {
-		return next
+		return pause
 	}
-	return later(next, t.freshAt.Add(p.maxAge))
-}
-
-func later(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return b
-	}
-	return a
+	return max(pause, time.Until(t.freshAt.Add(p.maxAge)))
 }
 
 // follow starts a goroutine that keeps a table up to date: it applies what the coordinator relays, reads the store when
-// that is too old or this instance has to read it itself, and relays to the members what it got. It logs the start and
-// the end of an outage of the store.
+// that is too old or this instance has to read it itself, and relays to the members what it got.
 func (f *follower) follow(ctx context.Context, t *relayedTable, p followedTable) {
 	f.goroutines.Go(func() {
-		var startedAt, outageStart, notBefore time.Time
+		var s pollState
 		for ctx.Err() == nil {
-			timer := time.NewTimer(time.Until(later(f.nextRead(t, p, startedAt), notBefore)))
-			select {
-			case <-p.dueTimer():
-				p.handleDue()
-			case u := <-t.updates:
-				f.applyUpdate(t, u, p.apply)
-			case <-t.changed:
-				f.requestRows(t)
-				notBefore = time.Now()
-				if f.relaySource() != "" {
-					// The view may be older than maxAge already; the new coordinator gets some time to refresh it.
-					notBefore = notBefore.Add(followerPause)
-				}
-			case <-p.trigger:
-				time.Sleep(time.Until(startedAt.Add(minHeartbeatInterval)))
-				startedAt = time.Time{}
-				notBefore = time.Time{}
-			case <-timer.C:
-				startedAt = time.Now()
-				relevant, err := p.read(ctx)
-				switch {
-				case ctx.Err() != nil:
-				case err != nil:
-					if outageStart.IsZero() {
-						outageStart = startedAt
-						f.log.Warn("store: lost", "part", t.name, "error", err)
-					}
-					startedAt, notBefore = time.Time{}, time.Now().Add(retryDelay)
-					f.dismissFollowers(t)
-				default:
-					if !outageStart.IsZero() {
-						f.log.Info("store: recovered", "part", t.name, "outage", time.Since(outageStart))
-						outageStart = time.Time{}
-					}
-					freshAt := startedAt
-					if p.maxWait > 0 && time.Since(startedAt) >= p.maxWait {
-						freshAt = startedAt.Add(p.maxWait)
-					}
-					t.freshAt, notBefore = later(t.freshAt, freshAt), time.Time{}
-					t.recordRead(freshAt, relevant)
-					f.publish(t)
-					if f.relaySource() != "" {
-						f.requestRows(t)
-						notBefore = time.Now().Add(followerPause)
-					}
-					if p.confirms != nil {
-						p.confirms.confirm(startedAt)
-						f.publish(p.confirms)
-					}
-				}
-			case <-ctx.Done():
-			}
-			timer.Stop()
+			f.followOnce(ctx, t, p, &s)
 		}
 	})
 }
 
+// followOnce waits for the next event of a table and handles it.
+func (f *follower) followOnce(ctx context.Context, t *relayedTable, p followedTable, s *pollState) {
+	timer := time.NewTimer(f.pause(t, p, s))
+	defer timer.Stop()
+	select {
+	case <-p.dueTimer():
+		p.handleDue()
+	case u := <-t.updates:
+		f.applyUpdate(t, u, p.apply)
+	case <-t.changed:
+		f.requestRows(t)
+		s.notBefore = time.Now()
+		if f.relaySource() != "" {
+			// The view may be older than maxAge already; the new coordinator gets some time to refresh it.
+			s.notBefore = s.notBefore.Add(followerPause)
+		}
+	case <-p.trigger:
+		time.Sleep(time.Until(s.startedAt.Add(minHeartbeatInterval)))
+		s.startedAt, s.notBefore = time.Time{}, time.Time{}
+	case <-timer.C:
+		f.readTable(ctx, t, p, s)
+	case <-ctx.Done():
+	}
+}
+
+// readTable reads a table from the store and relays what it got, or tells the members that it can't be read. It logs the
+// start and the end of an outage of the store.
+func (f *follower) readTable(ctx context.Context, t *relayedTable, p followedTable, s *pollState) {
+	startedAt := time.Now()
+	relevant, err := p.read(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		if s.outageStart.IsZero() {
+			s.outageStart = startedAt
+			f.log.Warn("store: lost", "part", t.name, "error", err)
+		}
+		s.startedAt, s.notBefore = time.Time{}, time.Now().Add(retryDelay)
+		f.dismissFollowers(t)
+		return
+	}
+	if !s.outageStart.IsZero() {
+		f.log.Info("store: recovered", "part", t.name, "outage", time.Since(s.outageStart))
+		s.outageStart = time.Time{}
+	}
+	s.startedAt, s.notBefore = startedAt, time.Time{}
+	freshAt := startedAt
+	if p.maxWait > 0 && time.Since(startedAt) >= p.maxWait {
+		// The store had no change to report until then.
+		freshAt = startedAt.Add(p.maxWait)
+	}
+	t.refresh(freshAt)
+	t.recordRead(freshAt, relevant)
+	f.publish(t)
+	if f.relaySource() != "" {
+		f.requestRows(t)
+		s.notBefore = time.Now().Add(followerPause)
+	}
+	if p.confirms != nil {
+		p.confirms.confirm(startedAt)
+		f.publish(p.confirms)
+	}
+}
+
 // readOperator waits for changes of the operator's rows and posts them as events.
 func (f *follower) readOperator(ctx context.Context) ([]store.Change, error) {
 	rows := f.tables[f.config.Tables.Operator].mirror
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -70,6 +70,13 @@
 	}
 }
 
+// refresh records that the view is complete as of a time.
+func (t *relayedTable) refresh(at time.Time) {
+	if at.After(t.freshAt) {
+		t.freshAt = at
+	}
+}
+
 // recordRead records the relevant changes that a read or an update returned. The caller has applied them to the mirror.
 func (t *relayedTable) recordRead(readAt time.Time, relevant []store.Change) {
 	t.mu.Lock()
@@ -308,9 +315,7 @@
 		f.requestRows(t)
 		return
 	}
-	if u.freshAt.After(t.freshAt) {
-		t.freshAt = u.freshAt
-	}
+	t.refresh(u.freshAt)
 	t.recordRead(t.freshAt, apply(changes))
 	f.publish(t)
 }
