--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -1,4 +1,7 @@
 package ingress
 
-// DecodeMessage gives tests access to the decoder of messages of other instances.
-var DecodeMessage = decodeMessage
+// DecodeMessage and EncodeMessage give tests access to the codec of messages of other instances.
+var (
+	DecodeMessage = decodeMessage
+	EncodeMessage = encodeMessage
+)
--- a/internal/ingress/message_test.go
+++ b/internal/ingress/message_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -56,3 +57,33 @@
 		}
 	})
 }
+
+// BenchmarkMessageSize reports the size of each kind of message in a group with three services and 190 organisations.
+func BenchmarkMessageSize(b *testing.B) {
+	loads, local := make(map[id.Service]float64), make(map[id.Service]float64)
+	for i := range 3 {
+		loads[id.Service(fmt.Sprint("service-", i))], local[id.Service(fmt.Sprint("service-", i))] = 12.34, 0.55
+	}
+	shares := make(map[id.Organisation]float64)
+	for i := range 190 {
+		shares[id.Organisation(fmt.Sprint("organisation-", i))] = 0.3333
+	}
+	stamp := entry.Stamp(time.Hour)
+	for name, m := range map[string]entry.PeerMessage{
+		"report":  entry.MemberReport{Stamp: stamp, Echo: stamp, Lends: true, OfferedLoad: loads, StartTime: 1 << 60},
+		"beat":    entry.CoordinatorBeat{Stamp: stamp, Echo: stamp, LocalShares: local, StartTime: 1 << 60},
+		"shares":  entry.CoordinatorBeat{Stamp: stamp, Echo: stamp, LocalShares: local, StartTime: 1 << 60, Shares: shares},
+		"request": entry.TokenRequest{Sequence: 100000, Organisation: "organisation-1", Tokens: 1, Arrivals: 1},
+		"grant":   entry.TokenGrant{Sequence: 100000, Organisation: "organisation-1", Tokens: 1},
+	} {
+		b.Run(name, func(b *testing.B) {
+			for range b.N {
+				encoded, err := proto.Marshal(ingress.EncodeMessage(m))
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(encoded)), "B/message")
+			}
+		})
+	}
+}
