--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -31,7 +31,7 @@
 	// maxContacts bounds the contacts that a member tries, in case the first ones are dead.
 	maxContacts = 6
 	// maxRegionGroup is the number of instances in a region above which each data centre is a group of its own. It
-	// bounds the members of a coordinator, which cost it some 100 us of processor time a second each.
+	// bounds the sessions of a coordinator.
 	maxRegionGroup = 128
 )
 
