Hold the latest change of each row for members, and bound cached updates

Cause, found by reading: a coordinator kept up to 4,096 changes of each table with their values. A member whose requests named many versions made it cache a compressed update for each.

Change: the log holds one change a row, whose value the copy of the table holds as well; 64 compressed updates are cached.

--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -1,7 +1,46 @@
 package ingress
 
-// DecodeMessage and EncodeMessage give tests access to the codec of messages of other instances.
+import (
+	"context"
+	"time"
+
+	"bluebellhold/id"
+	"bluebellhold/internal/wire"
+	"bluebellhold/store"
+)
+
+// DecodeMessage and EncodeMessage give tests access to the codec of messages of other instances, CompressMessage and
+// DecompressMessage to that of relayed rows.
 var (
-	DecodeMessage = decodeMessage
-	EncodeMessage = encodeMessage
+	DecodeMessage     = decodeMessage
+	EncodeMessage     = encodeMessage
+	CompressMessage   = compressMessage
+	DecompressMessage = decompressMessage
 )
+
+// Relay gives tests access to what a coordinator remembers of a table.
+type Relay struct{ table *relayedTable }
+
+// NewRelay returns the relay of a table that has been read once.
+func NewRelay(feed store.ChangeFeed, name string) (Relay, error) {
+	r := Relay{newRelayedTable(feed, name)}
+	return r, r.Read()
+}
+
+// Read reads the table and records the changes.
+func (r Relay) Read() error {
+	changes, err := r.table.mirror.Refresh(context.Background(), 0)
+	if err == nil {
+		r.table.recordRead(time.Now(), changes)
+	}
+	return err
+}
+
+// UpdatesFor returns the messages for a member that has got all changes up to the version after.
+func (r Relay) UpdatesFor(member id.Instance, after uint64) []*wire.RowsUpdate {
+	r.table.follow(member, after)
+	return r.table.updatesFor(member, time.Now(), 1)
+}
+
+// Held returns the number of changes and of cached messages that the relay holds.
+func (r Relay) Held() (changes, messages int) { return len(r.table.log), len(r.table.packed) }
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// maxLoggedChanges bounds the changes of a table that are kept for members which start to follow it.
+	// maxLoggedChanges bounds the rows whose latest changes are kept for members which start to follow the table.
 	maxLoggedChanges = 4096
+	// maxPackedUpdates bounds the compressed updates that are cached: members that have kept up need one.
+	maxPackedUpdates = 64
 	// maxUpdateBytes bounds the rows in one message, so that it does not delay others.
 	maxUpdateBytes = 96 << 10
 	// updateQueueLength is the number of updates that may wait while a table is read.
@@ -42,8 +44,8 @@
 
 	// mu guards the fields below.
 	mu sync.Mutex
-	// log holds the relevant changes after logStart, up to version.
-	log               []store.Change
+	// log holds the latest relevant change after logStart of each row, up to version.
+	log               map[string]store.Change
 	logStart, version uint64
 	// readAt is when the last successful read started, and isLost is set after a failed one.
 	readAt time.Time
@@ -56,7 +58,6 @@
 
 // rowsUpdate is a received RowsUpdate.
 type rowsUpdate struct {
-	from     id.Instance
 	after    uint64
 	changes  store.ChangeSet
 	freshAt  time.Time
@@ -66,7 +67,8 @@
 func newRelayedTable(feed store.ChangeFeed, name string) *relayedTable {
 	return &relayedTable{
 		name: name, mirror: store.NewMirror(feed, name), updates: make(chan rowsUpdate, updateQueueLength),
-		changed: make(chan struct{}, 1), followers: make(map[id.Instance]uint64), packed: make(map[uint64][]byte),
+		changed: make(chan struct{}, 1), log: make(map[string]store.Change), followers: make(map[id.Instance]uint64),
+		packed: make(map[uint64][]byte),
 	}
 }
 
@@ -86,14 +88,30 @@
 		relevant = nil
 	}
 	t.version, t.readAt, t.isLost = t.mirror.Version(), readAt, false
-	t.log = append(t.log, relevant...)
+	for _, change := range relevant {
+		t.log[change.Name] = change
+	}
 	clear(t.packed)
 	if excess := len(t.log) - maxLoggedChanges; excess > 0 {
-		for _, change := range t.log[:excess] {
+		for _, change := range t.changesAfter(0)[:excess] {
 			t.logStart = max(t.logStart, change.Version)
+			delete(t.log, change.Name)
+		}
+	}
+}
+
+// changesAfter returns the logged changes after a version, the oldest first. The caller holds mu.
+func (t *relayedTable) changesAfter(version uint64) []store.Change {
+	var changes []store.Change
+	for _, change := range t.log {
+		if change.Version > version {
+			changes = append(changes, change)
 		}
-		t.log = slices.Delete(t.log, 0, excess)
 	}
+	slices.SortFunc(changes, func(a, b store.Change) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Name, b.Name))
+	})
+	return changes
 }
 
 // confirm records that the store answered a read of another table that started at readAt. A read of this table that
@@ -152,13 +170,7 @@
 		delete(t.followers, follower)
 		return []*wire.RowsUpdate{{Table: t.name, Reload: true}}
 	}
-	var changes []store.Change
-	for _, change := range t.log {
-		if change.Version > after {
-			changes = append(changes, change)
-		}
-	}
-	slices.SortStableFunc(changes, func(a, b store.Change) int { return cmp.Compare(a.Version, b.Version) })
+	changes := t.changesAfter(after)
 	var updates []*wire.RowsUpdate
 	next := &wire.RowsUpdate{Table: t.name, After: after}
 	bytes := 0
@@ -198,7 +210,9 @@
 			// The rows are sent as they are.
 			return
 		}
-		t.packed[u.GetAfter()] = packed
+		if len(t.packed) < maxPackedUpdates {
+			t.packed[u.GetAfter()] = packed
+		}
 	}
 	u.Rows, u.Packed = nil, packed
 }
@@ -275,7 +289,7 @@
 		return
 	}
 	update := rowsUpdate{
-		from: from, after: u.GetAfter(), isReload: u.GetReload(), changes: store.ChangeSet{Version: u.GetVersion()},
+		after: u.GetAfter(), isReload: u.GetReload(), changes: store.ChangeSet{Version: u.GetVersion()},
 	}
 	rows := u.GetRows()
 	if len(u.GetPacked()) > 0 {
