Name at most 64 instances in a look-up

Cause, found by reading: a look-up named all serving instances of the region, or of the fleet if the region has none.

Change: a look-up names 64 consecutive ones from a random start.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -394,3 +394,34 @@
 	}
 	require.Contains(t, h.state.OfferedLoad(h.now), id.Service("pregled"))
 }
+
+// Guards against look-ups whose answers grow with the fleet: callers take 64 addresses, and an answer with more may count
+// as a failure. All instances are named about equally often.
+func TestLookupNamesABoundedNumberOfInstances(t *testing.T) {
+	h := newHarness(t)
+	var members []entry.Member
+	for i := range 300 {
+		members = append(members, entry.Member{
+			Instance: id.Instance(fmt.Sprint("instance-", i)), Region: "osrednja", Address: fmt.Sprint("10.0.1.", i, ":80"),
+			Version: uint64(i + 2), StartTime: 1,
+		})
+	}
+	h.reduce(entry.MembersRead{Members: members})
+	named := make(map[string]int)
+	const lookups = 3000
+	for range lookups {
+		addresses := h.state.Lookup("osrednja", "")
+		require.Len(t, addresses, 64)
+		seen := make(map[string]bool)
+		for _, a := range addresses {
+			require.False(t, seen[a], "named twice")
+			seen[a] = true
+			named[a]++
+		}
+	}
+	require.Len(t, named, 301)
+	for a, n := range named {
+		require.InDelta(t, lookups*64/301, n, lookups*64/301/2, a)
+	}
+	require.Len(t, h.state.Lookup("koper", ""), 64, "a region without instances gets those of others")
+}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -183,8 +183,11 @@
 	}
 }
 
+// maxLookupAddresses is the number of addresses that a look-up names; callers use no more.
+const maxLookupAddresses = 64
+
 // Lookup returns the addresses for a caller in the region: the serving instances of that region if there are any, else
-// those of all regions.
+// those of all regions. If there are many, each look-up names other ones.
 func (s *State) Lookup(region id.Region, _ id.DataCentre) []string {
 	var sameRegion, all []string
 	add := func(r id.Region, address string) {
@@ -202,12 +205,22 @@
 			add(peer.Region, peer.Address)
 		}
 	}
-	if len(sameRegion) > 0 {
-		return sameRegion
-	}
-	if len(all) == 0 {
+	switch {
+	case len(sameRegion) > 0:
+		return s.someAddresses(sameRegion)
+	case len(all) == 0:
 		// A caller without any address would retry the look-up at once, and this instance still serves for a while.
 		return []string{s.config.Address}
 	}
-	return all
+	return s.someAddresses(all)
+}
+
+// someAddresses returns at most maxLookupAddresses of the addresses: consecutive ones from a random start, so that each
+// is as likely as the others.
+func (s *State) someAddresses(addresses []string) []string {
+	if len(addresses) <= maxLookupAddresses {
+		return addresses
+	}
+	start := s.random.IntN(len(addresses))
+	return append(addresses, addresses...)[start : start+maxLookupAddresses]
 }
