--- a/allotment/doc.go
+++ b/allotment/doc.go
@@ -11,6 +11,8 @@
 // lease term; all others wait for the longer maximum lease term. In a table outage, promises of the witness not to
 // reclaim keep the lease valid without renewals, up to the maximum lease term.
 //
+// TokenBucket and SlidingWindow are limits of one instance, for fleets that divide a limit by other means.
+//
 // The package does no I/O. Reduce takes events and returns effects; the instance executes the effects and posts the
 // results as further events, late, out of order or not at all. A Ledger is not safe for concurrent use.
 //
--- a/allotment/window.go
+++ b/allotment/window.go
@@ -42,36 +42,6 @@
 	s.total += float64(spent)
 }
 
-// BucketCounts returns the tokens spent in each bucket of the current window from the first that is not empty to the
-// newest.
-func (s *SlidingWindow) BucketCounts(now time.Time) []id.Tokens {
-	s.advance(now)
-	var counts []id.Tokens
-	for i := int64(1); i <= int64(len(s.buckets)); i++ {
-		count := id.Tokens(s.buckets[(s.latestBucket+i)%int64(len(s.buckets))])
-		if count > 0 || len(counts) > 0 {
-			counts = append(counts, count)
-		}
-	}
-	return counts
-}
-
-// Restore adds the bucket counts of a predecessor, as if it had terminated at now, and the tokens that it may have
-// spent after its last report.
-func (s *SlidingWindow) Restore(now time.Time, counts []id.Tokens, unreported id.Tokens) {
-	s.advance(now)
-	add := func(age int, count id.Tokens) {
-		if age < len(s.buckets) {
-			s.buckets[(s.latestBucket+int64(len(s.buckets)-age))%int64(len(s.buckets))] += float64(count)
-			s.total += float64(count)
-		}
-	}
-	for i, count := range counts {
-		add(len(counts)-1-i, count)
-	}
-	add(0, unreported)
-}
-
 // Take spends one token if the limit allows it.
 func (s *SlidingWindow) Take(now time.Time) bool {
 	s.advance(now)
@@ -83,12 +53,6 @@
 	return true
 }
 
-// Spent returns the tokens spent within the current window.
-func (s *SlidingWindow) Spent(now time.Time) id.Tokens {
-	s.advance(now)
-	return id.Tokens(s.total)
-}
-
 // Limit returns the tokens that may be spent within a window.
 func (s *SlidingWindow) Limit() id.Tokens { return s.limit }
 
--- a/internal/entry/token.go
+++ b/internal/entry/token.go
@@ -194,7 +194,7 @@
 // ignored, and the tokens of one that took too long are returned.
 func (s *State) handleTokenGrant(from id.Instance, e TokenGrant) {
 	o := s.organisations[e.Organisation]
-	if o == nil || from != s.group.coordinator || e.Tokens < 0 {
+	if o == nil || from != s.group.coordinator || e.Tokens < 0 || e.Tokens > maxTokensPerRequest {
 		return
 	}
 	t := &o.stock
