--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -166,3 +167,39 @@
 	h.now = h.now.Add(time.Second)
 	require.Equal(t, entry.CodeRateLimited, requireRefusal(t, h.reduce(entry.Tick{})).Code)
 }
+
+// Guards against instances that wait for each other after all were killed: each took the predecessors of the others, whose
+// heartbeats were still in the store, for older processes that coordinate the group. On zadruga-zreb scale-1 half of the
+// requests of the next two seconds were refused.
+func TestFleetServesAgainAfterAllWereKilled(t *testing.T) {
+	f := newFleet(t, 3, 7)
+	const killedAt, downFor, bound = 12 * time.Second, 500 * time.Millisecond, 1500 * time.Millisecond
+	restartAt := testStart.Add(killedAt + downFor)
+	admittedSince := func(at time.Time) int {
+		return len(slices.DeleteFunc(slices.Clone(f.dispatches), func(d time.Time) bool { return d.Before(at) }))
+	}
+	isKilled := false
+	for f.now.Before(restartAt.Add(bound + time.Second)) {
+		f.now = f.now.Add(stepInterval)
+		f.deliverMessages()
+		for _, m := range f.members {
+			m.now = f.now
+			switch {
+			case !isKilled && f.now.After(testStart.Add(killedAt)):
+				m.restartAt = restartAt
+			case f.now.Before(m.restartAt):
+			case isKilled && f.now.Equal(restartAt):
+				f.restart(m)
+			default:
+				f.step(m)
+				if f.random.IntN(28) == 0 {
+					f.sendRequest(m) // 50 a second in all, half of the limit
+				}
+			}
+		}
+		isKilled = f.now.After(testStart.Add(killedAt))
+	}
+	admitted := admittedSince(restartAt.Add(bound))
+	t.Logf("%d admitted in the second after the bound, refused %v", admitted, f.refusals)
+	require.GreaterOrEqual(t, admitted, 40)
+}
