Log how long an instance has reached no upstream

The lines of single requests are dropped above 100 a second, and none said that all attempts fail. The summary now names the upstreams that were not reached since the last new connection to any of them, and the ages of the last new connection and of the last answer. No decision uses them yet.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -80,6 +80,7 @@
 	if r == nil {
 		return
 	}
+	s.uplink.RecordConnected(s.now)
 	if u, ok := s.upstreams[r.choice.Upstream]; ok {
 		r.service.chooser.ObserveRTT(u.Region, e.Elapsed)
 	}
@@ -97,13 +98,16 @@
 	switch outcome := e.Outcome.(type) {
 	case Answered:
 		r.possibleRuns++
+		s.uplink.RecordAnswered(s.now)
 		s.crashDetector.suspects.RecordCompletion(s.now, r.digest)
 		s.deliver(r)
 	case Shed, Misdirected:
+		s.uplink.RecordAnswered(s.now)
 		s.counts.Rejected++
 		s.retryOrRefuse(r, Refusal{Code: CodeOverloaded})
 	case NothingSent:
 		if !outcome.IsStaleConnection {
+			s.uplink.RecordUnreached(s.now, r.choice.Upstream)
 			s.crashDetector.recordCrash(s.now, r.processID)
 		}
 		s.retryOrRefuse(r, Refusal{Code: CodeNoUpstream})
--- a/internal/entry/dump.go
+++ b/internal/entry/dump.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bluebellhold/id"
+	"bluebellhold/internal/uplink"
 	"bluebellhold/placement"
 )
 
@@ -15,6 +16,8 @@
 	Members   []id.Instance              `json:"members"`
 	Evacuated []id.DataCentre            `json:"evacuated"`
 	Services  map[id.Service]ServiceDump `json:"services"`
+	// Uplink tells whether the instance reaches the upstreams.
+	Uplink uplink.Evidence `json:"uplink"`
 }
 
 // ServiceDump is the state of one service.
@@ -26,10 +29,10 @@
 }
 
 // Dump returns the state for diagnosis.
-func (s *State) Dump(_ time.Time) Dump {
+func (s *State) Dump(now time.Time) Dump {
 	d := Dump{
 		Version: s.configuration.Version, Ready: s.IsReady(), Counts: s.counts, Members: s.membership.instances(),
-		Services: make(map[id.Service]ServiceDump, len(s.services)),
+		Services: make(map[id.Service]ServiceDump, len(s.services)), Uplink: s.uplink.Evidence(now),
 	}
 	for name := range s.evacuated {
 		d.Evacuated = append(d.Evacuated, name)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -8,6 +8,7 @@
 
 	"bluebellhold/allotment"
 	"bluebellhold/id"
+	"bluebellhold/internal/uplink"
 )
 
 // Config configures a State.
@@ -52,6 +53,7 @@
 	splits        map[id.Route]*trafficSplit
 	requests      map[id.Request]*request
 	crashDetector crashDetector
+	uplink        *uplink.Tracker
 	isStopping    bool
 	group         group
 	// tokenWaiters are the organisations with requests that wait for a token, or with unanswered requests for tokens.
@@ -96,6 +98,7 @@
 		splits:        make(map[id.Route]*trafficSplit),
 		requests:      make(map[id.Request]*request),
 		crashDetector: newCrashDetector(),
+		uplink:        uplink.New(),
 		group:         newGroup(),
 		tokenWaiters:  make(map[id.Organisation]bool),
 	}
--- a/internal/ingress/instance.go
+++ b/internal/ingress/instance.go
@@ -180,7 +180,8 @@
 		i.mu.Lock()
 		dump := i.state.Dump(time.Now())
 		i.mu.Unlock()
-		i.log.Info("instance: summary", "version", dump.Version, "members", len(dump.Members), "counts", dump.Counts)
+		i.log.Info("instance: summary", "version", dump.Version, "members", len(dump.Members), "counts", dump.Counts,
+			"unreached", dump.Uplink.Unreached, "connected", dump.Uplink.ConnectedAge, "answered", dump.Uplink.AnsweredAge)
 		for name, service := range dump.Services {
 			i.log.Info("instance: service", "service", name, "waiting", service.QueueLength, "upstreams", service.Upstreams,
 				"classes", service.Routes)
