--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -200,8 +200,8 @@
 	return h
 }
 
-// serveUpstream starts an upstream and writes its row; handle serves each connection.
-func (h *harness) serveUpstream(name string, handle func(net.Conn)) {
+// serveUpstream starts an upstream, writes its row and returns its address; handle serves each connection.
+func (h *harness) serveUpstream(name string, handle func(net.Conn)) (address string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(h, err)
 	h.Cleanup(func() { l.Close() })
@@ -218,6 +218,7 @@
 		}
 	}()
 	h.writeUpstream(name, l.Addr().String(), 5, "ready", 1)
+	return l.Addr().String()
 }
 
 // writeUpstream writes the row of an upstream.
@@ -231,9 +232,16 @@
 // once it has stopped.
 func (h *harness) start(
 	name id.Instance, feed store.ChangeFeed, address string, output io.Writer, maxDrainDelay time.Duration,
+) (context.CancelFunc, chan struct{}) {
+	return h.startIn("osrednja", name, feed, address, output, maxDrainDelay)
+}
+
+// startIn starts an instance like start, in the given region.
+func (h *harness) startIn(
+	region id.Region, name id.Instance, feed store.ChangeFeed, address string, output io.Writer, maxDrainDelay time.Duration,
 ) (context.CancelFunc, chan struct{}) {
 	instance, err := ingress.New(ingress.Config{
-		Instance: name, Region: "osrednja", DataCentre: "osrednja-a",
+		Instance: name, Region: region, DataCentre: id.DataCentre(region) + "-a",
 		CallerAddress: address, ReadinessAddress: freeAddress(h.T), LookupAddress: freeAddress(h.T),
 		MetricsAddress: freeAddress(h.T), PeerAddress: freeAddress(h.T),
 		Bounds: entry.Bounds{
