Reach upstreams through other instances when an instance reaches none

Cause: each failed attempt was held against its upstream, and nothing asked whether the instance's own links had failed. It kept its place in all look-ups, and its own connections were the only way for a request. Class of fault: a failure of the observer taken for one of the observed. The same cause made broken attempts of such an instance suspects that crash upstreams, which other instances then refused.

Ruled out: late timeouts, since after 6 s of the cut nothing changed but the refusals' speed; a cold rate after failed connections, since no connection was made at all.

Change: package uplink takes an instance for severed when several upstreams are out of reach, or owe responses while none answers, and connections to others fail too. Then attempts go through tunnels: another instance, near the upstream, connects to an upstream that it knows itself and copies bytes. A tunnel that is lost never looks like the end of a response. Look-ups name instances that reach the upstreams first. Upstreams that could not be reached count as crashed only once the instance reaches others. An older instance refuses the handshake of a tunnel.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -54,6 +54,9 @@
 	d.brokenAttempts[process] = append(attempts, brokenAttempt{digest, now})
 }
 
+// forgetBroken forgets the broken attempts, which were not the upstreams' fault.
+func (d *crashDetector) forgetBroken() { clear(d.brokenAttempts) }
+
 // recordCrash records that a process of an upstream refuses connections or has ended.
 func (d *crashDetector) recordCrash(now time.Time, process id.Upstream) {
 	var digests []id.Digest
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -68,9 +68,11 @@
 	s.counts.Started++
 	r.service.queue.RecordStart(s.now)
 	r.choice = r.service.chooser.RecordStart(s.now, choice, r.placementRequest)
+	helper := s.chooseHelper(u, r)
+	r.via, r.sentAt, r.isWrittenOff = helper.Instance, s.now, false
 	s.emit(Dispatch{
 		Request: r.id, Organisation: r.organisation, Service: r.service.id, Upstream: u.ID, Incarnation: u.Incarnation,
-		Address: u.Address, Deadline: r.deadline,
+		Address: u.Address, Deadline: r.deadline, Via: helper,
 		EstimatedLatency: choice.EstimatedLatency, Diagnostics: s.diagnostics(r),
 	})
 }
@@ -80,7 +82,10 @@
 	if r == nil {
 		return
 	}
-	s.uplink.RecordConnected(s.now)
+	if r.via != "" {
+		return
+	}
+	s.recordReach(r.choice.Upstream, true)
 	if u, ok := s.upstreams[r.choice.Upstream]; ok {
 		r.service.chooser.ObserveRTT(u.Region, e.Elapsed)
 	}
@@ -94,23 +99,27 @@
 		return
 	}
 	svc := r.service
-	svc.chooser.RecordOutcome(s.now, r.choice, r.placementRequest, placementOutcome(e.Outcome))
+	s.recordHelperOutcome(r, e.Outcome)
+	if !r.isWrittenOff {
+		svc.chooser.RecordOutcome(s.now, r.choice, r.placementRequest, placementOutcome(e.Outcome, r.via != ""))
+	}
 	switch outcome := e.Outcome.(type) {
 	case Answered:
 		r.possibleRuns++
-		s.uplink.RecordAnswered(s.now)
+		s.recordAnswered(r)
 		s.crashDetector.suspects.RecordCompletion(s.now, r.digest)
 		s.deliver(r)
 	case Shed, Misdirected:
-		s.uplink.RecordAnswered(s.now)
+		s.recordAnswered(r)
 		s.counts.Rejected++
 		s.retryOrRefuse(r, Refusal{Code: CodeOverloaded})
 	case NothingSent:
 		if !outcome.IsStaleConnection {
-			s.uplink.RecordUnreached(s.now, r.choice.Upstream)
-			s.crashDetector.recordCrash(s.now, r.processID)
+			s.recordNotReached(r)
 		}
 		s.retryOrRefuse(r, Refusal{Code: CodeNoUpstream})
+	case HelperFailed:
+		s.redispatch(r)
 	case Broken:
 		r.possibleRuns++
 		s.counts.Broken++
@@ -128,10 +137,12 @@
 }
 
 // placementOutcome returns what an outcome says about the upstream.
-func placementOutcome(o AttemptOutcome) placement.Outcome {
+func placementOutcome(o AttemptOutcome, isRelayed bool) placement.Outcome {
 	switch o := o.(type) {
 	case Answered:
-		return placement.Answered{Elapsed: o.Elapsed, Size: o.Size, Load: o.Load, Limit: o.Limit}
+		return placement.Answered{
+			Elapsed: o.Elapsed, Size: o.Size, Load: o.Load, Limit: o.Limit, IsRelayed: isRelayed,
+		}
 	case Shed:
 		return placement.Shed{Load: o.Load, Limit: o.Limit}
 	case Misdirected:
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bluebellhold/id"
+	"bluebellhold/internal/uplink"
 )
 
 // Effect is an output of State.Reduce, which package ingress executes without further decisions.
@@ -24,6 +25,8 @@
 	Incarnation  id.Incarnation
 	Address      string
 	Deadline     time.Time
+	// Via is the instance through which the upstream is reached; empty means directly.
+	Via uplink.Helper
 	// EstimatedLatency is the estimated time from sending the request to receiving the whole response.
 	EstimatedLatency time.Duration
 	Diagnostics      Diagnostics
@@ -45,6 +48,26 @@
 	Request id.Request
 }
 
+// Interrupt breaks off a request's attempt in flight, whose outcome is then Broken.
+type Interrupt struct {
+	Request id.Request
+}
+
+// Probe connects to an upstream directly; ProbeEnded follows.
+type Probe struct {
+	Upstream    id.Upstream
+	Incarnation id.Incarnation
+	Address     string
+}
+
+// UplinkChanged reports that this instance no longer reaches any upstream, or does again.
+type UplinkChanged struct {
+	IsSevered bool
+	Evidence  uplink.Evidence
+	// Since is when the instance became severed.
+	Since time.Time
+}
+
 // Send sends a message to another instance; it may be lost.
 type Send struct {
 	To      id.Instance
@@ -63,6 +86,9 @@
 	Members int
 }
 
+func (Interrupt) isEffect()          {}
+func (Probe) isEffect()              {}
+func (UplinkChanged) isEffect()      {}
 func (Send) isEffect()               {}
 func (SetContacts) isEffect()        {}
 func (CoordinatorChanged) isEffect() {}
@@ -74,6 +100,9 @@
 // RequestID returns the request.
 func (e Dispatch) RequestID() id.Request { return e.Request }
 
+// RequestID returns the request.
+func (e Interrupt) RequestID() id.Request { return e.Request }
+
 // RequestID returns the request.
 func (e Refuse) RequestID() id.Request { return e.Request }
 
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -70,6 +70,8 @@
 	Suspects []retry.Report
 	// Limits are the rate limits that upstreams name.
 	Limits []placement.LimitReport
+	// Severed are those of the instance itself and the members that it vouches for that reach no upstream.
+	Severed []id.Instance
 	// IsRestored is set if the heartbeat comes from the older copy from which the store has returned, or is missing there.
 	// It is no sign of life.
 	IsRestored bool
@@ -137,6 +139,12 @@
 	Elapsed time.Duration
 }
 
+// ProbeEnded reports whether an upstream has accepted a connection.
+type ProbeEnded struct {
+	Upstream  id.Upstream
+	IsReached bool
+}
+
 // Tick reports that time has passed.
 type Tick struct{}
 
@@ -156,6 +164,7 @@
 func (CallerDisconnected) isEvent()   {}
 func (AttemptEnded) isEvent()         {}
 func (Connected) isEvent()            {}
+func (ProbeEnded) isEvent()           {}
 func (Tick) isEvent()                 {}
 func (StopRequested) isEvent()        {}
 
@@ -190,6 +199,10 @@
 	IsStaleConnection bool
 }
 
+// HelperFailed means that the instance through which the upstream was to be reached could not be reached itself or opened
+// no tunnel. Nothing was sent to the upstream.
+type HelperFailed struct{}
+
 // Broken means that the connection failed, or that the response was malformed, after the request was sent.
 type Broken struct{}
 
@@ -201,10 +214,11 @@
 // Cancelled means that the attempt was cancelled because the caller disconnected.
 type Cancelled struct{}
 
-func (Answered) isAttemptOutcome()    {}
-func (Shed) isAttemptOutcome()        {}
-func (Misdirected) isAttemptOutcome() {}
-func (NothingSent) isAttemptOutcome() {}
-func (Broken) isAttemptOutcome()      {}
-func (TimedOut) isAttemptOutcome()    {}
-func (Cancelled) isAttemptOutcome()   {}
+func (Answered) isAttemptOutcome()     {}
+func (Shed) isAttemptOutcome()         {}
+func (Misdirected) isAttemptOutcome()  {}
+func (NothingSent) isAttemptOutcome()  {}
+func (HelperFailed) isAttemptOutcome() {}
+func (Broken) isAttemptOutcome()       {}
+func (TimedOut) isAttemptOutcome()     {}
+func (Cancelled) isAttemptOutcome()    {}
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -54,6 +54,8 @@
 	Suspects    []retry.Report
 	// Limits are the rate limits that upstreams name, as far as they are news to the receiver.
 	Limits []placement.LimitReport
+	// IsSevered is set while the sender reaches no upstream.
+	IsSevered bool
 	// StartTime is that of the sender's heartbeats.
 	StartTime int64
 }
@@ -71,6 +73,8 @@
 	Suspects    []retry.Report
 	// Limits are those of MemberReport.
 	Limits []placement.LimitReport
+	// Severed are the instances of the group that reach no upstream.
+	Severed []id.Instance
 	// StartTime is that of the sender's heartbeats.
 	StartTime int64
 }
@@ -117,6 +121,8 @@
 	closedAt time.Time
 	suspects suspectReports
 	limits   placement.LimitReports
+	// severed is from its last beat.
+	severed []id.Instance
 }
 
 // isAlive reports whether the contact answers reports. The age is that of the report, so a delayed beat is no sign of
@@ -318,7 +324,7 @@
 		return
 	}
 	c.stamp, c.receivedAt, c.isLeaving, c.closedAt = b.Stamp, s.now, b.Leaving, time.Time{}
-	c.echoedAt = later(c.echoedAt, echoedAt)
+	c.echoedAt, c.severed = later(c.echoedAt, echoedAt), b.Severed
 	if b.Leaving {
 		// A leaving coordinator counts no lent parts any more.
 		s.releasePart(from)
@@ -374,7 +380,9 @@
 	s.expireLenders()
 	for _, d := range g.dialled {
 		c := g.contacts[d.Instance]
-		report := MemberReport{Stamp: s.stamp(), Echo: c.stamp, StartTime: s.config.StartTime}
+		report := MemberReport{
+			Stamp: s.stamp(), Echo: c.stamp, StartTime: s.config.StartTime, IsSevered: s.uplink.IsSevered(),
+		}
 		if d.Instance == g.coordinator {
 			report.OfferedLoad, report.PinnedLoad = s.ownOfferedLoad(s.now), s.ownPinnedLoad(s.now)
 			report.Suspects = c.suspects.changes(s.crashDetector.suspects.Reports(s.now))
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -24,6 +24,8 @@
 	sharesSentAt time.Time
 	suspects     suspectReports
 	limits       placement.LimitReports
+	// isSevered is set while the member reaches no upstream.
+	isSevered bool
 }
 
 // handleReport records a member's report and answers it.
@@ -35,7 +37,7 @@
 		l = &lender{suspects: make(suspectReports)}
 		g.lenders[from] = l
 	}
-	l.stamp, l.reportedAt = r.Stamp, s.now
+	l.stamp, l.reportedAt, l.isSevered = r.Stamp, s.now, r.IsSevered
 	l.offeredLoad, l.pinnedLoad = s.knownLoad(r)
 	l.echoedAt, l.lendsUntil = s.timeOf(r.Echo), time.Time{}
 	if r.Lends && !l.echoedAt.IsZero() && !s.isStopping {
@@ -50,6 +52,7 @@
 		Stamp: s.stamp(), Echo: r.Stamp, Leaving: s.isStopping, StartTime: s.config.StartTime, LocalShares: s.LocalShares(),
 		Suspects: l.suspects.changes(s.crashDetector.suspects.Reports(s.now)),
 		Limits:   l.limits.Changes(s.now, s.knownLimits(s.now)),
+		Severed:  s.Severed(),
 	}
 	if s.IsCoordinator() && s.isDeputy(from) && s.now.Sub(l.sharesSentAt) >= sharesInterval && g.shares.hasRead {
 		l.sharesSentAt = s.now
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -179,6 +179,7 @@
 		s.divideLimits()
 	}
 	s.group.ranked = s.rankMembers()
+	s.updateHelpers()
 	s.restoreServices()
 	if s.IsCoordinator() {
 		s.adjustLocalShares()
@@ -199,26 +200,33 @@
 // maxLookupAddresses is the number of addresses that a look-up names; callers use no more.
 const maxLookupAddresses = 64
 
-// Lookup returns the addresses for a caller in the region: the serving instances of that region if there are any, else
-// those of all regions. If there are many, each look-up names other ones.
+// Lookup returns the addresses for a caller in the region: the serving instances of that region that reach the upstreams
+// themselves, else all serving ones of that region, else those of all regions. If there are many, each look-up names other
+// ones.
 func (s *State) Lookup(region id.Region, _ id.DataCentre) []string {
-	var sameRegion, all []string
-	add := func(r id.Region, address string) {
+	var connected, sameRegion, all []string
+	add := func(name id.Instance, r id.Region, address string) {
 		all = append(all, address)
-		if r == region {
-			sameRegion = append(sameRegion, address)
+		if r != region {
+			return
+		}
+		sameRegion = append(sameRegion, address)
+		if isSevered := s.isKnownSevered(name) || name == s.config.Instance && s.uplink.IsSevered(); !isSevered {
+			connected = append(connected, address)
 		}
 	}
 	if !s.isStopping {
-		add(s.config.Region, s.config.Address)
+		add(s.config.Instance, s.config.Region, s.config.Address)
 	}
 	for _, name := range s.membership.instances() {
 		peer := s.membership.members[name]
 		if name != s.config.Instance && peer != nil && s.isServing(name, peer) {
-			add(peer.Region, peer.Address)
+			add(name, peer.Region, peer.Address)
 		}
 	}
 	switch {
+	case len(connected) > 0:
+		return s.someAddresses(connected)
 	case len(sameRegion) > 0:
 		return s.someAddresses(sameRegion)
 	case len(all) == 0:
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -33,6 +33,11 @@
 	digest         id.Digest
 	// processID identifies the upstream's process that the request was sent to.
 	processID id.Upstream
+	// via is the instance through which the current attempt goes, if any, and sentAt is when it was dispatched.
+	via    id.Instance
+	sentAt time.Time
+	// isWrittenOff is set if the current attempt no longer counts as in flight at the upstream.
+	isWrittenOff bool
 }
 
 type stage int
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -54,8 +54,14 @@
 	requests      map[id.Request]*request
 	crashDetector crashDetector
 	uplink        *uplink.Tracker
-	isStopping    bool
-	group         group
+	// helpers are the instances through which this one reaches the upstreams while it is severed, since severedAt.
+	helpers           *uplink.Helpers
+	severedAt         time.Time
+	nextUplinkCheckAt time.Time
+	// pendingCrashes are upstreams that could not be reached, which this instance may be at fault for.
+	pendingCrashes []pendingCrash
+	isStopping     bool
+	group          group
 	// tokenWaiters are the organisations with requests that wait for a token, or with unanswered requests for tokens.
 	tokenWaiters map[id.Organisation]bool
 	counts       Counts
@@ -99,6 +105,7 @@
 		requests:      make(map[id.Request]*request),
 		crashDetector: newCrashDetector(),
 		uplink:        uplink.New(),
+		helpers:       uplink.NewHelpers(c.Instance),
 		group:         newGroup(),
 		tokenWaiters:  make(map[id.Organisation]bool),
 	}
@@ -120,6 +127,8 @@
 		s.handleCallerDisconnected(e)
 	case Connected:
 		s.handleConnected(e)
+	case ProbeEnded:
+		s.recordReach(e.Upstream, e.IsReached)
 	case Tick:
 		s.handleTick()
 	case ConfigurationChanged:
@@ -288,6 +297,7 @@
 // handleTick reports to the contacts, refuses expired requests and dispatches queued ones.
 func (s *State) handleTick() {
 	s.sendReports()
+	s.checkUplink()
 	s.expireTokens()
 	for _, name := range s.serviceNames {
 		svc := s.services[name]
@@ -307,7 +317,7 @@
 			return now.Add(queuePollInterval)
 		}
 	}
-	next := later(s.group.nextReportAt, now)
+	next := later(earlier(s.group.nextReportAt, s.nextUplinkCheckAt), now)
 	if len(s.tokenWaiters) > 0 {
 		return earlier(next, now.Add(tokenPollInterval))
 	}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -13,6 +14,7 @@
 
 	"bluebellhold/id"
 	"bluebellhold/internal/entry"
+	"bluebellhold/internal/tcp"
 )
 
 const (
@@ -49,9 +51,12 @@
 	c := x.pool.get(d)
 	if c == nil {
 		var err error
-		c, err = x.pool.dial(d)
+		c, err = x.connect(d)
 		if err != nil {
 			x.attemptErr = err
+			if d.Via.Instance != "" && !isUnreached(err) {
+				return entry.HelperFailed{}, false
+			}
 			return entry.NothingSent{}, false
 		}
 		x.Post(entry.Connected{Request: x.requestID, Elapsed: time.Since(startedAt)})
@@ -82,11 +87,31 @@
 	return outcome, false
 }
 
+// connect connects to the upstream, through another instance if the dispatch says so.
+func (x *exchange) connect(d entry.Dispatch) (*upstreamConnection, error) {
+	ctx, cancel := context.WithDeadline(context.Background(), d.Deadline)
+	defer cancel()
+	var conn tcp.Conn
+	var err error
+	if d.Via.Instance != "" {
+		conn, err = x.sessions.openTunnel(ctx, d)
+	} else {
+		conn, err = dialUpstream(ctx, d.Address)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return newUpstreamConnection(conn), nil
+}
+
 // classifyError returns the outcome for an error that occurred after the first byte was sent.
 func (x *exchange) classifyError(startedAt time.Time, err error) entry.AttemptOutcome {
 	switch {
 	case x.isCancelled():
 		return entry.Cancelled{}
+	case x.takeInterrupted():
+		x.attemptErr = &InterruptedError{}
+		return entry.Broken{}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return entry.TimedOut{Elapsed: time.Since(startedAt)}
 	}
@@ -252,6 +277,14 @@
 	return "ingress: unexpected response with status " + strconv.Itoa(e.Status)
 }
 
+// InterruptedError reports an attempt that was broken off because the instance reaches no upstream.
+type InterruptedError struct{}
+
+// Error describes the reason.
+func (e *InterruptedError) Error() string {
+	return "ingress: attempt broken off, since no upstream is reached"
+}
+
 // ResponseTooLargeError reports a head or a body of a response above the limit.
 type ResponseTooLargeError struct {
 	Limit int64
--- a/internal/ingress/caller_connections.go
+++ b/internal/ingress/caller_connections.go
@@ -4,7 +4,8 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
+
+	"bluebellhold/internal/tcp"
 )
 
 // callerConnections tracks the callers' connections, so that a graceful stop closes none on which a request has
@@ -42,25 +43,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, state := range c.states {
-		if state == http.StateIdle && isQuiescent(conn) {
+		if state == http.StateIdle && tcp.IsQuiescent(conn) {
 			_ = conn.Close()
 			delete(c.states, conn)
 		}
 	}
 	return len(c.states)
 }
-
-// isQuiescent reports whether a connection is open and has no unread input.
-func isQuiescent(conn *net.TCPConn) bool {
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	isOpenAndEmpty := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		isOpenAndEmpty = err == syscall.EAGAIN
-	})
-	return err == nil && isOpenAndEmpty
-}
--- a/internal/ingress/caller_connections_test.go
+++ b/internal/ingress/caller_connections_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"bluebellhold/internal/tcp"
 )
 
 // connectPair returns both ends of a TCP connection on the loopback address.
@@ -37,7 +39,7 @@
 	c.track(active, http.StateActive)
 	_, err := client.Write([]byte("GET"))
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { return !isQuiescent(unread) }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return !tcp.IsQuiescent(unread) }, time.Second, time.Millisecond)
 	require.Equal(t, 2, c.closeIdle())
 	var b [3]byte
 	_, err = unread.Read(b[:])
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -35,8 +35,10 @@
 	// abortAttempt interrupts the current attempt. It and cancelled are guarded by Instance.mu.
 	abortAttempt func()
 	cancelled    bool
-	response     *upstreamResponse
-	dispatch     entry.Dispatch
+	// isInterrupted is set if the current attempt was broken off; it is guarded by Instance.mu.
+	isInterrupted bool
+	response      *upstreamResponse
+	dispatch      entry.Dispatch
 	// attemptErr is the cause of the last attempt's failure, for the log.
 	attemptErr error
 }
@@ -150,6 +152,23 @@
 	}
 }
 
+// interrupt breaks off the current attempt. The caller holds Instance.mu.
+func (x *exchange) interrupt() {
+	if x.abortAttempt != nil {
+		x.isInterrupted = true
+		x.abortAttempt()
+	}
+}
+
+// takeInterrupted reports whether the current attempt was broken off, and forgets it.
+func (x *exchange) takeInterrupted() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	isInterrupted := x.isInterrupted
+	x.isInterrupted = false
+	return isInterrupted
+}
+
 // setAbort sets the function that aborts the current attempt, and calls it if the exchange is already cancelled.
 func (x *exchange) setAbort(abort func()) {
 	x.mu.Lock()
--- a/internal/ingress/heartbeat.go
+++ b/internal/ingress/heartbeat.go
@@ -155,6 +155,8 @@
 	Suspects []suspectReport `json:"suspects,omitempty"`
 	// Limits are the rate limits that upstreams name.
 	Limits []limitReport `json:"limits,omitempty"`
+	// Severed are those of the instance itself and the members that it vouches for that reach no upstream.
+	Severed []id.Instance `json:"severed,omitempty"`
 	// Era is that of the store as the instance knew it; zero if it knew none.
 	Era uint64 `json:"era,omitempty"`
 }
@@ -184,6 +186,7 @@
 	offeredLoad, pinnedLoad, reports := f.state.OfferedLoad(now), f.state.PinnedLoad(now), f.state.Suspects(now)
 	localShares, limits := f.state.LocalShares(), f.state.UpstreamLimits(now)
 	vouched, upToDateAsOf := f.state.Vouched(now)
+	severed := f.state.Severed()
 	f.mu.Unlock()
 	var suspects []suspectReport
 	for _, r := range reports {
@@ -202,7 +205,7 @@
 		Address: f.config.CallerAddress, Region: f.config.Region, DataCentre: f.config.DataCentre,
 		PeerAddress: f.config.PeerAddress, Capacity: f.config.LinkCapacity, Vouched: vouched, Leaving: isLeaving, ReadVersion: f.relayedVersion(upToDateAsOf),
 		StartTime: f.startTime, OfferedLoad: offeredLoad, PinnedLoad: pinnedLoad, LocalShares: localShares,
-		Suspects: suspects, Limits: limitRows, Era: store.EraOf(rows.Version()),
+		Suspects: suspects, Limits: limitRows, Severed: severed, Era: store.EraOf(rows.Version()),
 	})
 	if err != nil {
 		return err
@@ -266,7 +269,7 @@
 		Address: heartbeat.Address, PeerAddress: heartbeat.PeerAddress, Capacity: heartbeat.Capacity, Vouched: heartbeat.Vouched,
 		Leaving: heartbeat.Leaving, Version: change.Version, ReadVersion: heartbeat.ReadVersion,
 		StartTime: heartbeat.StartTime, OfferedLoad: heartbeat.OfferedLoad, PinnedLoad: heartbeat.PinnedLoad,
-		LocalShares: heartbeat.LocalShares, Suspects: suspects, Limits: limits,
+		LocalShares: heartbeat.LocalShares, Suspects: suspects, Limits: limits, Severed: heartbeat.Severed,
 		IsRestored: isRestored(heartbeat.Era, change),
 	}
 }
--- a/internal/ingress/instance.go
+++ b/internal/ingress/instance.go
@@ -53,6 +53,7 @@
 	clockOffset time.Duration
 
 	pool          *pool
+	servedTunnels atomic.Int64
 	lastRequestID atomic.Uint64
 	bodyBytes     atomic.Int64
 	isStopping    atomic.Bool
@@ -281,6 +282,12 @@
 		i.log.Info("group: coordinator changed", "from", e.Previous, "to", e.Current, "members", e.Members)
 		i.wakeTables()
 		return
+	case entry.Probe:
+		i.goroutines.Go(func() { i.probeUpstream(e) })
+		return
+	case entry.UplinkChanged:
+		i.handleUplinkChange(e)
+		return
 	}
 	e, ok := effect.(entry.RequestEffect)
 	if !ok {
@@ -290,9 +297,13 @@
 	if x == nil {
 		return
 	}
-	if _, ok := effect.(entry.Cancel); ok {
+	switch effect.(type) {
+	case entry.Cancel:
 		x.cancel()
 		return
+	case entry.Interrupt:
+		x.interrupt()
+		return
 	}
 	x.effects <- e
 }
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -17,13 +17,16 @@
 		return &wire.Envelope{Payload: &wire.Envelope_MemberReport{MemberReport: &wire.MemberReport{
 			Stamp: int64(m.Stamp), Echo: int64(m.Echo), Lends: m.Lends, Started: m.StartTime,
 			Loads: encodeLoads(m.OfferedLoad, m.PinnedLoad), Suspects: encodeSuspects(m.Suspects),
-			Limits: encodeLimits(m.Limits),
+			Limits: encodeLimits(m.Limits), Severed: m.IsSevered,
 		}}}
 	case entry.CoordinatorBeat:
 		beat := &wire.CoordinatorBeat{
 			Stamp: int64(m.Stamp), Echo: int64(m.Echo), Leaving: m.Leaving, Suspects: encodeSuspects(m.Suspects),
 			Started: m.StartTime, Limits: encodeLimits(m.Limits),
 		}
+		for _, name := range m.Severed {
+			beat.Severed = append(beat.Severed, string(name))
+		}
 		for name, share := range m.Shares {
 			beat.Shares = append(beat.Shares, &wire.Share{Name: string(name), Share: share})
 		}
@@ -73,6 +76,7 @@
 		Stamp: entry.Stamp(r.GetStamp()), Echo: entry.Stamp(r.GetEcho()), Lends: r.GetLends(),
 		OfferedLoad: make(map[id.Service]float64), PinnedLoad: make(map[id.Service]map[id.Region]float64),
 		Suspects: decodeSuspects(r.GetSuspects()), Limits: decodeLimits(r.GetLimits()), StartTime: r.GetStarted(),
+		IsSevered: r.GetSevered(),
 	}
 	for _, l := range r.GetLoads() {
 		service, slots := id.Service(l.GetService()), l.GetSlots()
@@ -100,6 +104,9 @@
 		LocalShares: make(map[id.Service]float64), Suspects: decodeSuspects(b.GetSuspects()),
 		Limits: decodeLimits(b.GetLimits()), StartTime: b.GetStarted(),
 	}
+	for _, name := range b.GetSevered() {
+		beat.Severed = append(beat.Severed, id.Instance(name))
+	}
 	for _, s := range b.GetShares() {
 		if beat.Shares == nil {
 			beat.Shares = make(map[id.Organisation]float64)
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -2,16 +2,17 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"bluebellhold/id"
 	"bluebellhold/internal/entry"
+	"bluebellhold/internal/tcp"
 )
 
 const (
@@ -24,8 +25,6 @@
 	// idleMargin is subtracted from the upstream's own timeout, so that a request arrives before the upstream closes
 	// the connection.
 	idleMargin = 500 * time.Millisecond
-	// unacknowledgedTimeout is how long sent data may remain unacknowledged before the connection fails.
-	unacknowledgedTimeout = 3 * time.Second
 	// readBufferSize is the size of a connection's read buffer in bytes.
 	readBufferSize = 8 << 10
 )
@@ -38,16 +37,17 @@
 }
 
 // poolKey identifies one process of an upstream, so that a connection is not reused after another process or upstream
-// took over the address.
+// took over the address, and the instance through which it is reached, if any.
 type poolKey struct {
 	upstream    id.Upstream
 	incarnation id.Incarnation
 	address     string
+	via         id.Instance
 }
 
 // upstreamConnection is a connection to an upstream. It carries one request at a time.
 type upstreamConnection struct {
-	conn *net.TCPConn
+	conn tcp.Conn
 	// reader reads through head, which bounds the head of a response.
 	reader   *bufio.Reader
 	head     *headReader
@@ -61,7 +61,7 @@
 }
 
 func keyOf(d entry.Dispatch) poolKey {
-	return poolKey{d.Upstream, d.Incarnation, d.Address}
+	return poolKey{d.Upstream, d.Incarnation, d.Address, d.Via.Instance}
 }
 
 // get removes a usable idle connection from the pool and returns it, or nil if there is none. The most recently used
@@ -122,31 +122,38 @@
 	}
 }
 
-func (p *pool) dial(d entry.Dispatch) (*upstreamConnection, error) {
-	dialer := net.Dialer{
-		Timeout: connectTimeout, Deadline: d.Deadline, KeepAlive: -1,
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var sockoptErr error
-			err := raw.Control(func(fd uintptr) {
-				sockoptErr = syscall.SetsockoptInt(
-					int(fd), syscall.IPPROTO_TCP, sockoptTCPUserTimeout, int(unacknowledgedTimeout.Milliseconds()),
-				)
-			})
-			if err != nil {
-				return err
-			}
-			return sockoptErr
-		},
-	}
-	conn, err := dialer.Dial("tcp", d.Address)
+// dialUpstream connects to an upstream directly.
+func dialUpstream(ctx context.Context, address string) (tcp.Conn, error) {
+	dialer := net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: tcp.LimitUnacknowledged}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	return conn.(*net.TCPConn), nil
+}
+
+func newUpstreamConnection(conn tcp.Conn) *upstreamConnection {
 	head := &headReader{source: conn}
 	return &upstreamConnection{
-		conn: conn.(*net.TCPConn), reader: bufio.NewReaderSize(head, readBufferSize), head: head,
+		conn: conn, reader: bufio.NewReaderSize(head, readBufferSize), head: head,
 		expiresAt: time.Now().Add(defaultIdleTimeout),
-	}, nil
+	}
+}
+
+// dropDirect closes the idle connections that this instance has opened of its own accord: they may have fallen silent
+// for good.
+func (p *pool) dropDirect() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, idle := range p.idle {
+		if key.via != "" {
+			continue
+		}
+		for _, c := range idle {
+			c.close()
+		}
+		delete(p.idle, key)
+	}
 }
 
 // headReader reads from a connection and bounds the bytes of a response's head, since http.ReadResponse does not: a sick
@@ -178,9 +185,6 @@
 	return n, err
 }
 
-// sockoptTCPUserTimeout is the Linux socket option TCP_USER_TIMEOUT, which package syscall does not define.
-const sockoptTCPUserTimeout = 18
-
 func (p *pool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -195,10 +199,7 @@
 
 // isQuiescent reports whether the connection is open and has no input left over from the last response.
 func (c *upstreamConnection) isQuiescent() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	return isQuiescent(c.conn)
+	return c.reader.Buffered() == 0 && tcp.IsQuiescent(c.conn)
 }
 
 // setExpiry sets how long the connection may stay idle from the Keep-Alive header of a response.
--- a/internal/ingress/request_log.go
+++ b/internal/ingress/request_log.go
@@ -109,6 +109,9 @@
 		"id", x.callerHeaders.AttemptID, "service", d.Service, "object", x.callerHeaders.Object, "upstream", d.Upstream,
 		"version", d.Diagnostics.Version, "sends", d.Diagnostics.Attempts, "expected", d.EstimatedLatency, "total", time.Since(x.startedAt),
 	}
+	if d.Via.Instance != "" {
+		fields = append(fields, "via", d.Via.Instance)
+	}
 	switch outcome := outcome.(type) {
 	case entry.Answered:
 		fields = append(fields, "status", outcome.Status, "took", outcome.Elapsed, "load", formatLoad(outcome.Load), "limit", formatLimit(outcome.Limit))
@@ -124,6 +127,8 @@
 	case entry.NothingSent:
 		l.logFailure("request: upstream not reached",
 			append(fields, "listage", d.Diagnostics.UpstreamListAge, "error", x.attemptErr)...)
+	case entry.HelperFailed:
+		l.logFailure("request: no way to the upstream through the other instance", append(fields, "error", x.attemptErr)...)
 	case entry.Broken:
 		l.logFailure("request: attempt broken", append(fields, "error", x.attemptErr)...)
 	case entry.TimedOut:
--- a/internal/ingress/sessions.go
+++ b/internal/ingress/sessions.go
@@ -12,6 +12,7 @@
 	"bluebellhold/id"
 	"bluebellhold/internal/entry"
 	"bluebellhold/internal/peer"
+	"bluebellhold/internal/tcp"
 	"bluebellhold/internal/wire"
 	"bluebellhold/store"
 )
@@ -55,6 +56,19 @@
 	}
 }
 
+// openTunnel connects to an upstream through another instance.
+func (s *sessions) openTunnel(ctx context.Context, d entry.Dispatch) (tcp.Conn, error) {
+	s.mu.Lock()
+	t := s.transport
+	s.mu.Unlock()
+	if t == nil {
+		return nil, &peer.ClosedError{}
+	}
+	return t.OpenTunnel(ctx, d.Via.Instance, d.Via.Address, peer.TunnelTarget{
+		Upstream: d.Upstream, Incarnation: d.Incarnation,
+	})
+}
+
 func (s *sessions) open(t *peer.Transport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -166,7 +180,7 @@
 func (f *follower) startTransport(secret []byte) error {
 	transport, err := peer.New(peer.Config{
 		Self: f.config.Instance, Incarnation: id.Incarnation(f.startTime), Listen: f.config.PeerAddress, Secret: secret,
-		Log: f.log, Registry: f.registry, OnMessage: f.handleEnvelope,
+		Log: f.log, Registry: f.registry, OnMessage: f.handleEnvelope, OnTunnel: f.connectTunnel,
 		OnOpened: func(name id.Instance) { f.Post(entry.SessionOpened{Instance: name}) },
 		OnClosed: func(name id.Instance) { f.Post(entry.SessionClosed{Instance: name}) },
 	})
--- /dev/null
+++ b/internal/ingress/uplink.go
@@ -0,0 +1,82 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"bluebellhold/id"
+	"bluebellhold/internal/entry"
+	"bluebellhold/internal/peer"
+)
+
+// maxServedTunnels bounds the connections of other instances that lead to upstreams through this one, each of which takes
+// two descriptors and two buffers.
+const maxServedTunnels = 256
+
+// probeUpstream connects to an upstream and keeps the connection for later requests.
+func (i *Instance) probeUpstream(p entry.Probe) {
+	conn, err := dialUpstream(context.Background(), p.Address)
+	if err == nil {
+		i.pool.put(entry.Dispatch{Upstream: p.Upstream, Incarnation: p.Incarnation, Address: p.Address},
+			newUpstreamConnection(conn))
+	}
+	i.Post(entry.ProbeEnded{Upstream: p.Upstream, IsReached: err == nil})
+}
+
+// handleUplinkChange logs the change and closes the idle connections to upstreams, which may be dead.
+func (i *Instance) handleUplinkChange(e entry.UplinkChanged) {
+	if e.IsSevered {
+		i.log.Warn("uplink: no upstream is reached; requests go through other instances", "unreached", e.Evidence.Unreached,
+			"silent", e.Evidence.Silent, "connected", e.Evidence.ConnectedAge, "answered", e.Evidence.AnsweredAge)
+		i.pool.dropDirect()
+		return
+	}
+	i.log.Info("uplink: upstreams are reached again", "after", time.Since(e.Since))
+}
+
+// connectTunnel connects to an upstream for another instance that does not reach it.
+func (i *Instance) connectTunnel(ctx context.Context, from id.Instance, target peer.TunnelTarget) (net.Conn, error) {
+	i.mu.Lock()
+	address, ok := i.state.TunnelAddress(target.Upstream, target.Incarnation)
+	i.mu.Unlock()
+	if !ok {
+		return nil, &peer.TunnelRefusedError{Peer: i.config.Instance}
+	}
+	if i.servedTunnels.Add(1) > maxServedTunnels {
+		i.servedTunnels.Add(-1)
+		i.log.Warn("uplink: too many tunnels", "from", from, "limit", maxServedTunnels)
+		return nil, &peer.TunnelRefusedError{Peer: i.config.Instance}
+	}
+	conn, err := dialUpstream(ctx, address)
+	i.Post(entry.ProbeEnded{Upstream: target.Upstream, IsReached: err == nil})
+	if err != nil {
+		i.servedTunnels.Add(-1)
+		return nil, err
+	}
+	return &servedTunnel{Conn: conn, release: func() { i.servedTunnels.Add(-1) }}, nil
+}
+
+// servedTunnel is a connection to an upstream that is lent to another instance.
+type servedTunnel struct {
+	net.Conn
+	closeOnce sync.Once
+	release   func()
+}
+
+// NetConn returns the connection to the upstream.
+func (t *servedTunnel) NetConn() net.Conn { return t.Conn }
+
+// Close closes the connection and releases its place among the tunnels.
+func (t *servedTunnel) Close() error {
+	t.closeOnce.Do(t.release)
+	return t.Conn.Close()
+}
+
+// isUnreached reports whether another instance has tried to connect to the upstream and failed.
+func isUnreached(err error) bool {
+	var refused *peer.TunnelRefusedError
+	return errors.As(err, &refused) && refused.IsUnreached
+}
--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -52,9 +52,13 @@
 // handleConn turns an accepted connection into a session or closes it.
 func (t *Transport) handleConn(conn net.Conn) {
 	t.counters.handshakes.Inc(1)
-	err := t.upgradeAccepted(&countingConn{Conn: conn, counters: t.counters})
+	tunnel, err := t.upgradeAccepted(&countingConn{Conn: conn, counters: t.counters})
 	t.counters.handshakes.Dec(1)
 	<-t.handshakeSlots
+	if err == nil && tunnel != nil {
+		t.serveTunnel(tunnel)
+		return
+	}
 	if err == nil {
 		return
 	}
@@ -82,31 +86,40 @@
 	}
 }
 
-// upgradeAccepted authenticates an accepted connection and installs a session on it.
-func (t *Transport) upgradeAccepted(rawConn net.Conn) error {
+// upgradeAccepted authenticates an accepted connection and installs a session on it, unless it is for a tunnel, which it
+// returns.
+func (t *Transport) upgradeAccepted(rawConn net.Conn) (*acceptedTunnel, error) {
 	ctx, cancel := context.WithTimeout(t.ctx, handshakeTimeout)
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { rawConn.Close() })
 	defer stop()
 	conn, err := t.wrapTLS(ctx, rawConn, "")
 	if err != nil {
-		return err
+		return nil, err
 	}
 	h, err := t.newHandshake(conn)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	hello, err := h.accept(conn, func(hello *wire.Hello) error {
 		if err := verifyCertificateName(conn, id.Instance(hello.GetInstance())); err != nil {
 			return err
 		}
+		if hello.GetTunnel() != nil {
+			return t.checkTunnel(id.Instance(hello.GetInstance()))
+		}
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		return t.checkSession(t.newSession(hello, false))
 	})
 	if err != nil {
-		return err
+		return nil, err
+	}
+	if tunnel := hello.GetTunnel(); tunnel != nil {
+		return &acceptedTunnel{conn: conn, peer: id.Instance(hello.GetInstance()), target: TunnelTarget{
+			Upstream: id.Upstream(tunnel.GetUpstream()), Incarnation: id.Incarnation(tunnel.GetIncarnation()),
+		}}, nil
 	}
 	_, err = t.openSession(ctx, conn, hello, false)
-	return err
+	return nil, err
 }
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -1,7 +1,9 @@
 package peer
 
 import (
+	"context"
 	"io"
+	"net"
 	"net/netip"
 
 	"github.com/charmbracelet/log"
@@ -34,6 +36,9 @@
 	// OnMessage handles a received message. Each session calls it from two goroutines, one for EpochReply messages and
 	// one for all others. It must not call Close, and further messages from the peer wait until it returns.
 	OnMessage func(from id.Instance, m *wire.Envelope)
+	// OnTunnel connects to an upstream for a peer. It returns a TunnelRefusedError if this instance connects no peer to the
+	// upstream; nil refuses all tunnels.
+	OnTunnel func(ctx context.Context, from id.Instance, target TunnelTarget) (net.Conn, error)
 	// OnOpened is called after a session with a peer has opened; nil means no call.
 	OnOpened func(peer id.Instance)
 	// OnClosed is called after the session with a peer has closed, unless another one has replaced it; nil means no call.
@@ -65,6 +70,11 @@
 	if c.OnMessage == nil {
 		c.OnMessage = func(id.Instance, *wire.Envelope) {}
 	}
+	if c.OnTunnel == nil {
+		c.OnTunnel = func(context.Context, id.Instance, TunnelTarget) (net.Conn, error) {
+			return nil, &TunnelRefusedError{Peer: c.Self}
+		}
+	}
 	if c.OnOpened == nil {
 		c.OnOpened = func(id.Instance) {}
 	}
--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -15,6 +15,8 @@
 	opened               metrics.Counter // sessions opened
 	refused, duplicates  metrics.Counter // accepted connections that did not become sessions
 	sessions, handshakes metrics.Counter // current numbers of open sessions and running handshakes
+	tunnels              metrics.Counter // tunnels opened through peers
+	servedTunnels        metrics.Counter // current number of tunnels that lead to upstreams through this instance
 }
 
 func newCounters(registry metrics.Registry) counters {
@@ -28,6 +30,7 @@
 		opened:  counter("opened"),
 		refused: counter("refused"), duplicates: counter("duplicates"),
 		sessions: counter("sessions"), handshakes: counter("handshakes"),
+		tunnels: counter("tunnels"), servedTunnels: counter("served_tunnels"),
 	}
 }
 
@@ -37,6 +40,9 @@
 	counters counters
 }
 
+// NetConn returns the connection without the counters.
+func (c *countingConn) NetConn() net.Conn { return c.Conn }
+
 // Read counts the bytes that it reads.
 func (c *countingConn) Read(b []byte) (int, error) {
 	count, err := c.Conn.Read(b)
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -113,6 +113,21 @@
 	return "peer: session closed by this instance"
 }
 
+// TunnelRefusedError reports that a peer does not connect to an upstream. IsUnreached is set if the peer has tried and did
+// not reach it.
+type TunnelRefusedError struct {
+	Peer        id.Instance
+	IsUnreached bool
+}
+
+// Error returns a message with the name of the peer.
+func (e *TunnelRefusedError) Error() string {
+	if e.IsUnreached {
+		return "peer: " + string(e.Peer) + " did not reach the upstream"
+	}
+	return "peer: " + string(e.Peer) + " refused a tunnel"
+}
+
 // FrameTooLargeError reports a frame that exceeds the size limit of its stream.
 type FrameTooLargeError struct {
 	Size, Limit int
--- a/internal/peer/export_test.go
+++ b/internal/peer/export_test.go
@@ -19,7 +19,8 @@
 	if err != nil {
 		return err
 	}
-	return newTransport(config, nil).upgradeAccepted(conn)
+	_, err = newTransport(config, nil).upgradeAccepted(conn)
+	return err
 }
 
 // Inject writes raw bytes to the message stream of the session with the only peer.
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -18,6 +18,7 @@
 	dialLabel      = "bluebellhold peer 1 dialling"
 	acceptLabel    = "bluebellhold peer 1 accepting"
 	duplicateLabel = "bluebellhold peer 1 duplicate"
+	tunnelLabel    = "bluebellhold peer 1 tunnel"
 )
 
 // handshake authenticates both sides of a connection to each other before any other use of it.
@@ -29,6 +30,8 @@
 	self           id.Instance
 	incarnation    id.Incarnation
 	channelBinding []byte
+	// tunnel is set on the dialling side of a tunnel.
+	tunnel *wire.Tunnel
 }
 
 // dial runs the dialling side of the handshake and returns the peer's Hello.
@@ -45,7 +48,7 @@
 		return nil, &AuthenticationError{Peer: peer, Reason: "the address belongs to another instance"}
 	}
 	if err := writeFrame(
-		conn, &wire.Proof{Mac: h.computeMAC(dialLabel, localHello, remoteHello)}, maxHandshakeFrameSize,
+		conn, &wire.Proof{Mac: h.computeMAC(labelOf(localHello), localHello, remoteHello)}, maxHandshakeFrameSize,
 	); err != nil {
 		return nil, err
 	}
@@ -83,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if !hmac.Equal(proof.GetMac(), h.computeMAC(dialLabel, remoteHello, localHello)) {
+	if !hmac.Equal(proof.GetMac(), h.computeMAC(labelOf(remoteHello), remoteHello, localHello)) {
 		return nil, &AuthenticationError{Peer: id.Instance(remoteHello.GetInstance()), Reason: "wrong proof"}
 	}
 	err = admit(remoteHello)
@@ -104,7 +107,16 @@
 func (h handshake) newHello() *wire.Hello {
 	nonce := make([]byte, nonceSize)
 	rand.Read(nonce) // Read never returns an error; it crashes the process instead.
-	return &wire.Hello{Instance: string(h.self), Incarnation: uint64(h.incarnation), Nonce: nonce}
+	return &wire.Hello{Instance: string(h.self), Incarnation: uint64(h.incarnation), Nonce: nonce, Tunnel: h.tunnel}
+}
+
+// labelOf returns the label of the dialling side's proof. A process that knows no tunnels expects another one, and so
+// refuses a tunnel instead of taking it for a session.
+func labelOf(dialling *wire.Hello) string {
+	if dialling.GetTunnel() != nil {
+		return tunnelLabel
+	}
+	return dialLabel
 }
 
 func (h handshake) readHello(conn io.Reader) (*wire.Hello, error) {
@@ -143,6 +155,10 @@
 		writeField(binary.BigEndian.AppendUint64(nil, hello.GetIncarnation()))
 		writeField(hello.GetNonce())
 	}
+	if tunnel := dialling.GetTunnel(); tunnel != nil {
+		writeField([]byte(tunnel.GetUpstream()))
+		writeField(binary.BigEndian.AppendUint64(nil, tunnel.GetIncarnation()))
+	}
 	writeField(h.channelBinding)
 	return sum.Sum(nil)
 }
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -196,7 +196,8 @@
 	object string
 }
 
-func (req Request) allows(region id.Region) bool {
+// Allows reports whether the request may be processed in the region.
+func (req Request) Allows(region id.Region) bool {
 	return len(req.Regions) == 0 || slices.Contains(req.Regions, region)
 }
 
@@ -290,7 +291,7 @@
 
 func (c *Chooser) isUsable(now time.Time, u *upstream, req Request) bool {
 	switch {
-	case c.evacuated[u.DataCentre], !req.allows(u.Region), slices.Contains(req.Exclude, u.ID):
+	case c.evacuated[u.DataCentre], !req.Allows(u.Region), slices.Contains(req.Exclude, u.ID):
 		return false
 	case u.consecutiveFailures > 0 && (now.Before(u.retryAt) || u.inFlight() > 0):
 		return false
--- a/placement/home.go
+++ b/placement/home.go
@@ -79,7 +79,7 @@
 	object := hashString(req.Object)
 	rankings := &objectRankings{localityHash: unitHash(object, hashString(string(c.config.Region)))}
 	for _, u := range c.ordered {
-		if c.evacuated[u.DataCentre] || !req.allows(u.Region) {
+		if c.evacuated[u.DataCentre] || !req.Allows(u.Region) {
 			continue
 		}
 		if u.Region != c.config.Region {
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -18,6 +18,9 @@
 	Load    *Load
 	// Limit is the rate that the upstream takes from all instances together; nil if the response names none.
 	Limit *id.TokensPerSecond
+	// IsRelayed is set if another instance stood between this one and the upstream, so that Elapsed says little about the
+	// upstream.
+	IsRelayed bool
 }
 
 // Shed means that the upstream reported that it did not run the request.
@@ -75,6 +78,22 @@
 	return choice
 }
 
+// WriteOff forgets an attempt that was recorded by RecordStart and whose outcome will say nothing about the upstream.
+func (c *Chooser) WriteOff(choice Choice, req Request) {
+	if u := c.upstreams[choice.Upstream]; u != nil {
+		u.removeAttempt(choice)
+		delete(u.warmingSince, req.key())
+	}
+}
+
+// ForgetFailures forgets failures of the upstreams, since this instance was at fault for them.
+func (c *Chooser) ForgetFailures() {
+	for _, u := range c.ordered {
+		u.consecutiveFailures, u.retryAt, u.assumedColdUntil = 0, time.Time{}, time.Time{}
+		u.errorRate, u.slowdown = 0, 1
+	}
+}
+
 // RecordQueued records that a request waits for the chosen upstream, until RecordDequeued.
 func (c *Chooser) RecordQueued(upstream id.Upstream) {
 	if u := c.upstreams[upstream]; u != nil {
@@ -155,7 +174,7 @@
 // response's size.
 func (u *upstream) observeProcessing(now time.Time, choice Choice, req Request, stats *routeStats, o Answered) {
 	processing := max(o.Elapsed-choice.rtt, time.Millisecond)
-	isUncontended := choice.isUncontended && (o.Load == nil || o.Load.Waiting == 0)
+	isUncontended := choice.isUncontended && !o.IsRelayed && (o.Load == nil || o.Load.Waiting == 0)
 	if isUncontended {
 		u.observeSlowdown(now, float64(processing)/float64(max(choice.expectedProcessing, time.Millisecond)))
 	}
