Reach upstreams through other instances in fleets run by release notes too

Package steering uses package uplink like package entry; the gateway has one HTTP transport for each instance that helps. A crash is told to peers once the instance is known to reach other upstreams, and withdrawn if its own links have failed.

--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -140,6 +140,14 @@
 	c.reviewHealth(now)
 }
 
+// ForgetFailures makes all upstreams healthy again, since their failures were those of the caller's own links.
+func (c *Chooser) ForgetFailures(now time.Time) {
+	for _, u := range c.configured {
+		u.health = health{lastOutcome: now, meanServiceTime: u.health.meanServiceTime}
+	}
+	c.reviewHealth(now)
+}
+
 // reviewIfDue ends the unhealthy periods that have expired.
 func (c *Chooser) reviewIfDue(now time.Time) {
 	if !c.nextReview.IsZero() && !now.Before(c.nextReview) {
--- a/execute.go
+++ b/execute.go
@@ -70,6 +70,12 @@
 		i.Post(steering.MembersListed{Members: members, Failed: err != nil})
 	case steering.Probe:
 		i.Post(i.probe(ctx, e))
+	case steering.TestConnection:
+		conn, err := i.dialUpstream(ctx, e.Address)
+		if err == nil {
+			_ = conn.Close()
+		}
+		i.Post(steering.ConnectionTested{Upstream: e.Upstream, IsReached: err == nil})
 	case steering.DecodeEpoch:
 		i.Post(decodeEpoch(e.Epoch, e.Digest, e.Body))
 	default:
--- a/instance.go
+++ b/instance.go
@@ -95,7 +95,7 @@
 	}
 	i.gateway = gateway.New(gateway.Config{
 		Engine: i, Log: c.Log.WithPrefix("gateway"), Registry: c.Registry, MaxBody: c.MaxBody,
-		MaxClaimedBody: c.MaxClaimedBody,
+		MaxClaimedBody: c.MaxClaimedBody, OpenTunnel: i.openTunnel,
 	})
 	if err := i.listen(); err != nil {
 		i.close()
@@ -127,6 +127,7 @@
 		Log:          i.log.WithPrefix("peer"),
 		Registry:     i.registry,
 		OnMessage:    i.receive,
+		OnTunnel:     i.connectTunnel,
 		IsBlocked:    i.blockedPeers.isBlocked,
 	})
 	return err
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,7 +42,7 @@
 	}
 	ctx, cancel := context.WithDeadline(parent, d.Deadline)
 	defer cancel()
-	a.ctx = withGuard(ctx, &a.guard)
+	a.ctx = withGuard(context.WithValue(ctx, upstreamKey{}, d.Upstream), &a.guard)
 	defer a.finishBodyStream()
 	defer a.ensureEnded()
 	response, err := a.roundTrip()
@@ -64,7 +64,7 @@
 func (a *attempt) roundTrip() (*http.Response, error) {
 	for {
 		a.startBodyStream()
-		response, err := a.checkResponse(a.gateway.transport.RoundTrip(a.upstreamRequest()))
+		response, err := a.checkResponse(a.gateway.transportVia(a.dispatch.Via).RoundTrip(a.upstreamRequest()))
 		var deadlineErr *DispatchDeadlineError
 		if err == nil || a.guard.sent.Load() || a.bodyReadStarted() || !a.guard.reused.Swap(false) ||
 			errors.As(err, &deadlineErr) || a.ctx.Err() != nil {
@@ -123,6 +123,7 @@
 	a.ended = true
 	a.gateway.engine.Post(steering.AttemptEnded{
 		Request: a.requestID, Outcome: e, BodyConsumed: a.bodyStream != nil && (a.bodyReadStarted() || a.guard.sent.Load()),
+		IsConnected: a.guard.connected.Load(),
 	})
 }
 
@@ -181,7 +182,9 @@
 	case a.bodyFailed || isCallerError(err) || a.isCallerDisconnected():
 		return steering.Cancelled{}
 	case !a.guard.sent.Load():
-		return steering.NothingSent{DispatchExpired: errors.As(err, new(*DispatchDeadlineError))}
+		return steering.NothingSent{
+			DispatchExpired: errors.As(err, new(*DispatchDeadlineError)), IsHelperFailed: errors.As(err, new(*TunnelError)),
+		}
 	case isTimeout(a.ctx, err):
 		return steering.TimedOut{ResponseStarted: forwarded}
 	default:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -12,6 +13,8 @@
 
 	"bluebellhold/id"
 	"bluebellhold/internal/steering"
+	"bluebellhold/internal/tcp"
+	"bluebellhold/internal/uplink"
 )
 
 // The defaults of Config and the fixed limits.
@@ -55,6 +58,8 @@
 	Engine   Engine
 	Log      *log.Logger
 	Registry metrics.Registry
+	// OpenTunnel connects to an upstream through another instance; the error is nil or nothing has reached the upstream.
+	OpenTunnel func(ctx context.Context, via uplink.Helper, upstream id.Upstream) (tcp.Conn, error)
 	// MaxBody limits the body of a request, by default DefaultMaxBody.
 	MaxBody id.Bytes
 	// MaxClaimedBody limits the body of a non-idempotent request, by default DefaultMaxClaimedBody. MaxBody applies too.
@@ -73,6 +78,7 @@
 	maxClaimedBody     id.Bytes
 	router             *mux.Router
 	transport          *http.Transport
+	tunnels            tunnelTransports
 	lastRequestID      atomic.Uint64
 	keepAlivesDisabled atomic.Bool
 	latency            latencies
@@ -103,7 +109,8 @@
 		registry:       c.Registry,
 		maxBody:        c.MaxBody,
 		maxClaimedBody: min(c.MaxClaimedBody, c.MaxBody),
-		transport:      newTransport(),
+		transport:      newTransport(dialDirect),
+		tunnels:        tunnelTransports{open: c.OpenTunnel, byInstance: make(map[id.Instance]*http.Transport)},
 		latency:        latencies{registry: c.Registry},
 
 		stallTimeout: c.StallTimeout,
@@ -134,6 +141,7 @@
 // Close closes the idle connections to upstreams.
 func (g *Gateway) Close() {
 	g.transport.CloseIdleConnections()
+	g.tunnels.closeIdle()
 }
 
 func (g *Gateway) recoverPanic(w http.ResponseWriter) {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -18,6 +18,7 @@
 	"bluebellhold/id"
 	"bluebellhold/internal/gateway"
 	"bluebellhold/internal/steering"
+	"bluebellhold/internal/uplink"
 )
 
 // testTimeout limits every wait; it is reached only if the code under test hangs.
@@ -26,8 +27,10 @@
 // engine is a fake reducer. It dispatches every request to one upstream and refuses it when an attempt fails.
 type engine struct {
 	upstream string
-	claimed  bool
-	metered  bool
+	// via is the instance through which the upstream is reached, if any.
+	via     uplink.Helper
+	claimed bool
+	metered bool
 	// dispatchTimeout and attemptTimeout are the times from a dispatch to its DispatchBy and its Deadline.
 	dispatchTimeout, attemptTimeout time.Duration
 	// retries limits how often a request that was not sent or was shed is dispatched again.
@@ -110,7 +113,7 @@
 	e.attempts[request]++
 	now := time.Now()
 	e.emit(steering.Dispatch{
-		Request: request, Organisation: "school", Upstream: "pregled-1", Address: e.upstream, StoreResponse: e.claimed, Metered: e.metered,
+		Request: request, Organisation: "school", Upstream: "pregled-1", Address: e.upstream, Via: e.via, StoreResponse: e.claimed, Metered: e.metered,
 		DispatchBy: now.Add(e.dispatchTimeout), Deadline: now.Add(e.attemptTimeout),
 	})
 }
--- a/internal/gateway/transport.go
+++ b/internal/gateway/transport.go
@@ -9,18 +9,37 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"bluebellhold/id"
+	"bluebellhold/internal/tcp"
 )
 
+// dialFunc connects to an upstream.
+type dialFunc func(ctx context.Context, upstream id.Upstream, address string) (tcp.Conn, error)
+
+// dialDirect connects to an upstream of this instance's own accord.
+func dialDirect(ctx context.Context, _ id.Upstream, address string) (tcp.Conn, error) {
+	dialer := net.Dialer{Timeout: connectTimeout, Control: tcp.LimitUnacknowledged}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return conn.(*net.TCPConn), nil
+}
+
+// upstreamKey is the key of the upstream's id in the context of a request to it.
+type upstreamKey struct{}
+
 // newTransport returns the HTTP transport for upstreams. It reuses connections because a new one costs 1 ms.
-func newTransport() *http.Transport {
-	dialer := net.Dialer{Timeout: connectTimeout}
+func newTransport(dial dialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			upstream, _ := ctx.Value(upstreamKey{}).(id.Upstream)
+			conn, err := dial(ctx, upstream, address)
 			if err != nil {
 				return nil, err
 			}
-			return newGuardedConn(conn.(*net.TCPConn))
+			return newGuardedConn(conn)
 		},
 		MaxIdleConnsPerHost:    maxConnectionsPerUpstream,
 		MaxConnsPerHost:        maxConnectionsPerUpstream,
@@ -35,6 +54,8 @@
 	dispatchBy time.Time
 	sent       atomic.Bool
 	reused     atomic.Bool
+	// connected is set if a new connection was made for the attempt.
+	connected atomic.Bool
 	// earlyResponse is set if the upstream's response began before the attempt's first write on the connection.
 	earlyResponse atomic.Bool
 	// stopBody stops a read of the caller's body, for which the transport would otherwise wait after the connection has
@@ -51,7 +72,7 @@
 // The write waits until the transport is blocked in a read, and fails if the socket is readable. Otherwise bytes that
 // the upstream sent after its previous response would be interpreted as the response to this attempt.
 type guardedConn struct {
-	net.Conn
+	tcp.Conn
 	raw      syscall.RawConn
 	mu       sync.Mutex
 	cond     *sync.Cond
@@ -64,7 +85,7 @@
 	closed      bool
 }
 
-func newGuardedConn(conn *net.TCPConn) (*guardedConn, error) {
+func newGuardedConn(conn tcp.Conn) (*guardedConn, error) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		_ = conn.Close()
@@ -78,8 +99,11 @@
 // Read reads from the connection. It consumes no bytes before it has cleared readWaiting, so that a write in between
 // still finds the socket readable.
 func (c *guardedConn) Read(b []byte) (int, error) {
+	if buffered, ok := c.Conn.(interface{ Buffered() int }); ok && buffered.Buffered() > 0 {
+		return c.Conn.Read(b)
+	}
 	c.setReadWaiting(true)
-	err := c.raw.Read(isReadable)
+	err := c.raw.Read(tcp.IsReadable)
 	c.setReadWaiting(false)
 	if err != nil {
 		return 0, err
@@ -87,13 +111,6 @@
 	return c.Conn.Read(b)
 }
 
-// isReadable reports whether a read of the socket would return immediately, with bytes, EOF or an error.
-func isReadable(fd uintptr) bool {
-	var b [1]byte
-	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return err != syscall.EAGAIN && err != syscall.EINTR
-}
-
 func (c *guardedConn) setReadWaiting(waiting bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -130,7 +147,7 @@
 		c.cond.Wait()
 	}
 	readable := false
-	if c.closed || c.raw.Control(func(fd uintptr) { readable = isReadable(fd) }) != nil || readable {
+	if c.closed || c.raw.Control(func(fd uintptr) { readable = tcp.IsReadable(fd) }) != nil || readable {
 		return nil, net.ErrClosed
 	}
 	if c.guard.earlyResponse.Load() {
@@ -181,6 +198,7 @@
 			conn := info.Conn.(*guardedConn)
 			currentConn.Store(conn)
 			guard.reused.Store(info.Reused)
+			guard.connected.Store(guard.connected.Load() || !info.Reused)
 			guard.earlyResponse.Store(false)
 			conn.startAttempt(guard)
 		},
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"io"
@@ -47,6 +48,16 @@
 // Buffered returns the number of bytes that the peer has announced and that have not been read.
 func (t *tunnel) Buffered() int { return t.remaining }
 
+// Write sends bytes to the upstream. TLS does not tell how much of a failed write was sent, so that at least one byte is
+// reported.
+func (t *tunnel) Write(b []byte) (int, error) {
+	n, err := t.Conn.Write(b)
+	if _, isTLS := t.Conn.(*tls.Conn); isTLS && err != nil {
+		n = max(n, min(len(b), 1))
+	}
+	return n, err
+}
+
 // Read reads bytes of the upstream. It returns io.EOF only if the upstream has closed the connection: if the peer is lost,
 // an answer must not look complete.
 func (t *tunnel) Read(b []byte) (int, error) {
--- a/internal/steering/attempt.go
+++ b/internal/steering/attempt.go
@@ -22,6 +22,7 @@
 		svc.queue.Done(s.now, r.route.Class, r.queueOrganisation, serviceTime)
 	}
 	svc.chooser.RecordOutcome(s.now, r.upstream, balanceOutcome(e.Outcome), serviceTime)
+	s.recordUplink(r, e)
 	s.updateSuspects(r, e.Outcome)
 	s.applyOutcome(r, e)
 	s.dispatchQueued(svc)
@@ -34,7 +35,7 @@
 	case Shed:
 		return balance.Shed{}
 	case NothingSent:
-		if e.DispatchExpired {
+		if e.DispatchExpired || e.IsHelperFailed {
 			return balance.Cancelled{}
 		}
 		return balance.ConnectionFailed{}
--- a/internal/steering/dispatch.go
+++ b/internal/steering/dispatch.go
@@ -6,6 +6,7 @@
 
 	"bluebellhold/balance"
 	"bluebellhold/id"
+	"bluebellhold/internal/uplink"
 	"bluebellhold/queue"
 )
 
@@ -157,7 +158,7 @@
 // canSpillOver reports whether a request that was queued at the given time may go to another region than the own one.
 func (s *State) canSpillOver(svc *service, queuedAt time.Time) bool {
 	first := svc.targets[0]
-	if first.region != s.self.Region || !s.hasUsableUpstream(svc, first.region) {
+	if first.region != s.self.Region || !s.hasUsableUpstream(svc, first.region) || !s.canReach(first.region) {
 		return true
 	}
 	return s.now.Sub(queuedAt) >= spilloverDelay
@@ -186,7 +187,7 @@
 // tryDispatchTo takes a slot of the region and link tokens, chooses an upstream and starts an attempt. It returns the
 // slot if one of them is not available.
 func (s *State) tryDispatchTo(r *request, target regionTarget) bool {
-	if !s.take(target.slotLimit, 1) {
+	if !s.canReach(target.region) || !s.take(target.slotLimit, 1) {
 		return false
 	}
 	if !s.takeLinkTokens(r, target) {
@@ -213,6 +214,10 @@
 	r.stage = stageInFlight
 	r.upstream = upstream
 	r.target = target
+	r.via = uplink.Helper{}
+	if s.uplink.IsSevered() {
+		r.via, _ = s.helpers.Choose(s.now, []id.Region{target.region})
+	}
 	r.startedAt = s.now
 	r.attempts++
 	if r.attempts == 1 {
@@ -225,6 +230,7 @@
 		Organisation:  r.organisation.id,
 		Upstream:      upstream,
 		Address:       svc.upstreams[upstream].Address,
+		Via:           r.via,
 		DispatchBy:    s.dispatchBy(r),
 		Deadline:      attemptDeadline(r, s.now),
 		StoreResponse: r.isClaimed(),
--- a/internal/steering/effect.go
+++ b/internal/steering/effect.go
@@ -5,6 +5,7 @@
 
 	"bluebellhold/claim"
 	"bluebellhold/id"
+	"bluebellhold/internal/uplink"
 	"bluebellhold/internal/wire"
 	"bluebellhold/store"
 )
@@ -25,7 +26,7 @@
 	Request id.Request
 }
 
-// Dispatch sends a request to an upstream.
+// Dispatch sends a request to an upstream, through another instance if Via names one.
 //
 // The request must not be sent after DispatchBy, the earliest expiry of the lease, the claim, the freshness and the
 // caller's deadline. The attempt is cancelled at Deadline. StoreResponse is set if the response must be stored for
@@ -36,6 +37,7 @@
 	Organisation  id.Organisation
 	Upstream      id.Upstream
 	Address       string
+	Via           uplink.Helper
 	DispatchBy    time.Time
 	Deadline      time.Time
 	StoreResponse bool
@@ -136,6 +138,12 @@
 	Address  string
 }
 
+// TestConnection connects to an upstream; ConnectionTested follows.
+type TestConnection struct {
+	Upstream id.Upstream
+	Address  string
+}
+
 // Reply reports the epoch of the accepted note, or an error, for a NoteProposed event.
 type Reply struct {
 	ID    ProposalID
@@ -179,6 +187,7 @@
 func (SetPeers) isEffect()               {}
 func (Send) isEffect()                   {}
 func (Probe) isEffect()                  {}
+func (TestConnection) isEffect()         {}
 func (Reply) isEffect()                  {}
 func (Log) isEffect()                    {}
 func (DrainCallerConnections) isEffect() {}
--- a/internal/steering/event.go
+++ b/internal/steering/event.go
@@ -58,6 +58,8 @@
 	Request      id.Request
 	Outcome      AttemptOutcome
 	BodyConsumed bool
+	// IsConnected is set if a new connection to the upstream was made for the attempt.
+	IsConnected bool
 }
 
 // TransferRequested requests permission to transfer bytes of the response to a dispatched request over an inter-region
@@ -148,6 +150,13 @@
 // StopRequested reports an operator's planned stop or a termination signal.
 type StopRequested struct{}
 
+// ConnectionTested reports whether an upstream has accepted a connection, after a TestConnection effect or for another
+// instance.
+type ConnectionTested struct {
+	Upstream  id.Upstream
+	IsReached bool
+}
+
 // CallerConnectionsClosed reports that no caller is connected any more, after a CloseCallerConnections effect.
 type CallerConnectionsClosed struct{}
 
@@ -187,8 +196,11 @@
 // NothingSent means that the attempt failed before the first byte of the request was sent.
 //
 // DispatchExpired is set if DispatchBy of the Dispatch had passed, which says nothing about the upstream.
+//
+// IsHelperFailed is set if the instance through which the upstream was to be reached failed or refused.
 type NothingSent struct {
 	DispatchExpired bool
+	IsHelperFailed  bool
 }
 
 // Broken means that the connection failed after bytes of the request were sent.
@@ -240,4 +252,5 @@
 func (RowsRead) isEvent()                {}
 func (ObjectDone) isEvent()              {}
 func (CallerConnectionsClosed) isEvent() {}
+func (ConnectionTested) isEvent()        {}
 func (StopRequested) isEvent()           {}
--- a/internal/steering/lookup.go
+++ b/internal/steering/lookup.go
@@ -66,12 +66,23 @@
 	return result
 }
 
+func (s *State) isMemberSevered(name id.Instance) bool {
+	return s.isPeerSevered(name) || name == s.self.Instance && s.uplink.IsSevered()
+}
+
 // updateCandidates rebuilds the index of the instances that look-ups may return; it runs when the membership changes.
 func (s *State) updateCandidates() {
 	var members []lookup.Member
 	s.addresses = make(map[id.Instance]string)
+	connected := make(map[id.Region]bool)
+	for _, m := range s.view.Members() {
+		if m.Status == fleet.Live && m.Caller != "" && !s.isMemberSevered(m.Instance) {
+			connected[m.Region] = true
+		}
+	}
 	for _, m := range s.view.Members() {
-		isUsable := m.Status == fleet.Live && m.Caller != ""
+		// An instance that reaches no upstream serves callers through others, which is the second choice.
+		isUsable := m.Status == fleet.Live && m.Caller != "" && (!connected[m.Region] || !s.isMemberSevered(m.Instance))
 		members = append(members, lookup.Member{Instance: m.Instance, Region: m.Region, Live: isUsable})
 		s.addresses[m.Instance] = m.Caller
 	}
--- a/internal/steering/peers.go
+++ b/internal/steering/peers.go
@@ -27,6 +27,8 @@
 	// with no newer epoch.
 	confirmedAt time.Time
 	incarnation id.Incarnation
+	// isSevered is set while the peer reaches no upstream.
+	isSevered bool
 	// stoppedIncarnation is the incarnation that sent a farewell; a stopped process accepts no release note.
 	stoppedIncarnation id.Incarnation
 }
@@ -94,6 +96,7 @@
 // publishMembers passes the membership to the look-ups, the peer sessions and the ledger.
 func (s *State) publishMembers() {
 	s.updateCandidates()
+	s.updateHelpers()
 	var members []store.Member
 	ledgerMembers := []allotment.Member{ledgerMember(s.self, !s.stop.isLeaving())}
 	for _, m := range s.view.Members() {
@@ -119,6 +122,7 @@
 			Incarnation: uint64(s.incarnation),
 			Epoch:       uint64(s.epochs.current.Epoch),
 			Leaving:     s.stop.isLeaving(),
+			Severed:     s.uplink.IsSevered(),
 		}}}})
 	}
 	s.refetchEpoch()
@@ -165,6 +169,7 @@
 
 func (s *State) handleHeartbeat(from id.Instance, m *wire.Heartbeat) {
 	s.recordHeartbeat(from, m.GetIncarnation(), m.GetLeaving())
+	s.recordPeerUplink(from, m.GetSevered())
 	s.ensurePeer(from).epoch = id.Epoch(m.GetEpoch())
 	s.ensurePeer(from).incarnation = id.Incarnation(m.GetIncarnation())
 	s.emit(Send{To: from, Message: &wire.Envelope{Payload: &wire.Envelope_HeartbeatReply{
--- a/internal/steering/request.go
+++ b/internal/steering/request.go
@@ -5,6 +5,7 @@
 
 	"bluebellhold/claim"
 	"bluebellhold/id"
+	"bluebellhold/internal/uplink"
 	"bluebellhold/note"
 	"bluebellhold/queue"
 )
@@ -63,6 +64,7 @@
 	excluded       []id.Upstream
 
 	upstream     id.Upstream
+	via          uplink.Helper
 	target       regionTarget
 	startedAt    time.Time
 	transferSize id.Bytes
--- a/internal/steering/simulation_test.go
+++ b/internal/steering/simulation_test.go
@@ -46,6 +46,8 @@
 	// onStart is called when a request starts at an upstream.
 	onStart func(*request)
 	replies map[steering.ProposalID]*steering.Reply
+	// severed are the instances that reach no upstream.
+	severed map[id.Instance]bool
 }
 
 // instance is one simulated instance.
@@ -125,6 +127,7 @@
 		storeDown: func(*instance) bool { return false }, loseResult: func() bool { return false },
 		partitioned: func(_, _ *instance) bool { return false }, regionLatency: 55 * time.Millisecond,
 		refusalCounts: map[steering.Code]int{}, replies: map[steering.ProposalID]*steering.Reply{},
+		severed:   map[id.Instance]bool{},
 		runsByKey: map[string]int{}, onStart: func(*request) {}, onArrival: func(*request) {},
 	}
 	var members []store.Member
@@ -224,6 +227,12 @@
 		s.after(s.closeDuration, func() { n.post(steering.CallerConnectionsClosed{}) })
 	case steering.StopProcess:
 		n.stopped = true
+	case steering.TestConnection:
+		s.after(connectTimeout, func() {
+			n.post(steering.ConnectionTested{
+				Upstream: e.Upstream, IsReached: !s.severed[n.self.Instance] && !s.upstreams[e.Upstream].down,
+			})
+		})
 	case steering.Reply:
 		*s.replies[e.ID] = e
 	default:
@@ -329,6 +338,12 @@
 	networkDelay := s.delay(n.self.Region, target.region)
 	require.False(s.t, s.now.After(e.DispatchBy), "dispatched after DispatchBy")
 	region := s.regionOf(target)
+	if !s.canReach(n, e.Via.Instance, e.Upstream) {
+		region.inFlight++
+		outcome := steering.NothingSent{IsHelperFailed: e.Via.Instance != ""}
+		s.after(connectTimeout, func() { s.attemptEnded(n, target, e.Request, outcome) })
+		return
+	}
 	region.inFlight++
 	region.peak = max(region.peak, region.inFlight)
 	s.after(networkDelay, func() {
@@ -345,6 +360,23 @@
 	})
 }
 
+// connectTimeout is the time after which a connect to an upstream that is out of reach fails.
+const connectTimeout = 600 * time.Millisecond
+
+// canReach reports whether an instance reaches an upstream, directly or through another one.
+func (s *simulation) canReach(n *instance, via id.Instance, upstream id.Upstream) bool {
+	if via == "" {
+		return !s.severed[n.self.Instance]
+	}
+	for _, helper := range s.instances {
+		if helper.self.Instance == via && !helper.killed && !s.severed[via] {
+			_, ok := helper.state.TunnelAddress(upstream)
+			return ok
+		}
+	}
+	return false
+}
+
 func (s *simulation) regionOf(u *upstream) *regionLoad {
 	return s.regionLoads[string(u.service)+"/"+string(u.region)]
 }
--- a/internal/steering/state.go
+++ b/internal/steering/state.go
@@ -8,6 +8,7 @@
 	"bluebellhold/claim"
 	"bluebellhold/fleet"
 	"bluebellhold/id"
+	"bluebellhold/internal/uplink"
 	"bluebellhold/lookup"
 	"bluebellhold/note"
 	"bluebellhold/retry"
@@ -61,12 +62,19 @@
 	peers           map[id.Instance]*peer
 	proposals       proposals
 	stop            stopState
+	uplink          *uplink.Tracker
+	// helpers are the instances through which this one reaches the upstreams while it is severed, since severedAt.
+	helpers        *uplink.Helpers
+	severedAt      time.Time
+	pendingCrashes []pendingCrash
 
 	nextLedgerTick time.Time
 	nextHeartbeat  time.Time
 	nextList       time.Time
 	nextProbe      time.Time
 
+	nextUplinkCheck time.Time
+
 	effects []Effect
 }
 
@@ -93,6 +101,8 @@
 		organisations: make(map[id.Organisation]*organisation),
 		requests:      make(map[id.Request]*request),
 		peers:         make(map[id.Instance]*peer),
+		uplink:        uplink.New(),
+		helpers:       uplink.NewHelpers(c.Self.Instance),
 	}
 	s.epochs.current = note.Compile(note.Configuration{})
 	s.updateCandidates()
@@ -120,6 +130,8 @@
 		s.handleTransferRequested(e)
 	case LoadReported:
 		s.handleLoadReported(e)
+	case ConnectionTested:
+		s.recordReach(e.Upstream, e.IsReached)
 	case Tick:
 		s.handleTick()
 	case MessageReceived:
@@ -187,6 +199,7 @@
 		s.nextProbe = s.now.Add(probeInterval)
 		s.probeUpstreams()
 	}
+	s.checkUplink()
 	s.retryTokenWaiters()
 	s.retryTransfers()
 	s.refuseExpired()
--- a/internal/steering/suspect.go
+++ b/internal/steering/suspect.go
@@ -38,6 +38,7 @@
 	case Broken:
 		inFlight := s.inFlightDigests(r.upstream)
 		s.suspects.RecordCrash(s.now, r.upstream, inFlight)
+		s.pendingCrashes = append(s.pendingCrashes, pendingCrash{r.upstream, inFlight, s.now})
 		s.log("retry", "upstream closed its connection during a request",
 			"upstream", r.upstream, "requests", len(inFlight))
 	case Answered:
@@ -64,9 +65,14 @@
 	for _, report := range s.suspects.Reports(s.now) {
 		m := &wire.Suspect{Digest: report.Digest[:], Age: int64(report.Age)}
 		for _, u := range report.Upstreams {
-			m.Upstreams = append(m.Upstreams, string(u))
+			if !s.isPendingCrash(u, report.Digest) {
+				m.Upstreams = append(m.Upstreams, string(u))
+			}
+		}
+		// A report without upstreams means that the request has completed.
+		if len(m.Upstreams) > 0 || len(report.Upstreams) == 0 {
+			reports = append(reports, m)
 		}
-		reports = append(reports, m)
 	}
 	return reports
 }
--- a/internal/uplink/helpers.go
+++ b/internal/uplink/helpers.go
@@ -66,6 +66,11 @@
 // Regions returns the regions with candidates, sorted.
 func (h *Helpers) Regions() []id.Region { return slices.Sorted(maps.Keys(h.candidates)) }
 
+// CanChoose reports whether Choose would return a candidate of the region.
+func (h *Helpers) CanChoose(now time.Time, region id.Region) bool {
+	return slices.ContainsFunc(h.candidates[region], func(c Helper) bool { return !now.Before(h.state(c.Instance).retryAt) })
+}
+
 // Choose returns the least used candidate of the first of the regions that has a usable one, and counts an attempt in
 // flight, until RecordOutcome.
 func (h *Helpers) Choose(now time.Time, regions []id.Region) (Helper, bool) {
--- a/retry/suspects.go
+++ b/retry/suspects.go
@@ -96,6 +96,20 @@
 	}
 }
 
+// WithdrawCrash undoes RecordCrash, since the upstream turned out not to have crashed.
+func (s *Suspects) WithdrawCrash(upstream id.Upstream, inFlight []id.Digest) {
+	for _, d := range inFlight {
+		r := s.records[d]
+		if r == nil {
+			continue
+		}
+		r.removeUpstream(upstream)
+		if len(r.crashes) == 0 && r.clearedAt.IsZero() {
+			delete(s.records, d)
+		}
+	}
+}
+
 // RecordCompletion clears a suspect whose request got a complete response from an upstream that did not crash.
 //
 // A refused digest stays refused: a request that crashes upstreams only sometimes also completes sometimes.
