--- a/internal/ingress/uplink_test.go
+++ b/internal/ingress/uplink_test.go
@@ -15,10 +15,9 @@
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/require"
-
 	"bluebellhold/platform"
 	"bluebellhold/store"
+	"github.com/stretchr/testify/require"
 )
 
 // linkMode is how a link treats its connections.
