--- a/internal/entry/uplink.go
+++ b/internal/entry/uplink.go
@@ -201,11 +201,14 @@
 	s.admit(r)
 }
 
-// TunnelAddress returns the address of an upstream's process for another instance that does not reach it, and false if this
-// instance does not lend its links.
+// LendsLinks reports whether this instance connects others to upstreams.
+func (s *State) LendsLinks() bool { return !s.uplink.IsSevered() && !s.isStopping }
+
+// TunnelAddress returns the address of an upstream's process for another instance, and false if it gets no requests as far
+// as this instance knows.
 func (s *State) TunnelAddress(upstream id.Upstream, incarnation id.Incarnation) (string, bool) {
 	u, ok := s.upstreams[upstream]
-	if !ok || u.Incarnation != incarnation || u.Draining || s.evacuated[u.DataCentre] || s.uplink.IsSevered() || s.isStopping {
+	if !ok || u.Incarnation != incarnation || u.Draining || s.evacuated[u.DataCentre] {
 		return "", false
 	}
 	return u.Address, true
--- a/internal/entry/uplink_test.go
+++ b/internal/entry/uplink_test.go
@@ -140,9 +140,9 @@
 	require.Equal(t, u.Address, address)
 	_, ok = h.state.TunnelAddress(u.ID, u.Incarnation+1)
 	require.False(t, ok)
+	require.True(t, h.state.LendsLinks())
 	h.sever()
-	_, ok = h.state.TunnelAddress(u.ID, u.Incarnation)
-	require.False(t, ok)
+	require.False(t, h.state.LendsLinks())
 }
 
 // Guards against a request that is taken for a poison request, and refused everywhere, because it was sent while the
--- a/internal/ingress/uplink.go
+++ b/internal/ingress/uplink.go
@@ -40,10 +40,11 @@
 // connectTunnel connects to an upstream for another instance that does not reach it.
 func (i *Instance) connectTunnel(ctx context.Context, from id.Instance, target peer.TunnelTarget) (net.Conn, error) {
 	i.mu.Lock()
-	address, ok := i.state.TunnelAddress(target.Upstream, target.Incarnation)
+	lendsLinks := i.state.LendsLinks()
+	address, isUsable := i.state.TunnelAddress(target.Upstream, target.Incarnation)
 	i.mu.Unlock()
-	if !ok {
-		return nil, &peer.TunnelRefusedError{Peer: i.config.Instance}
+	if !lendsLinks || !isUsable {
+		return nil, &peer.TunnelRefusedError{Peer: i.config.Instance, IsUnreached: lendsLinks}
 	}
 	if i.servedTunnels.Add(1) > maxServedTunnels {
 		i.servedTunnels.Add(-1)
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -36,8 +36,8 @@
 	// OnMessage handles a received message. Each session calls it from two goroutines, one for EpochReply messages and
 	// one for all others. It must not call Close, and further messages from the peer wait until it returns.
 	OnMessage func(from id.Instance, m *wire.Envelope)
-	// OnTunnel connects to an upstream for a peer. It returns a TunnelRefusedError if this instance connects no peer to the
-	// upstream; nil refuses all tunnels.
+	// OnTunnel connects to an upstream for a peer. It returns a TunnelRefusedError if this instance connects no peer to any
+	// upstream, or, with IsUnreached, none to this one; nil refuses all tunnels.
 	OnTunnel func(ctx context.Context, from id.Instance, target TunnelTarget) (net.Conn, error)
 	// OnOpened is called after a session with a peer has opened; nil means no call.
 	OnOpened func(peer id.Instance)
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -113,8 +113,8 @@
 	return "peer: session closed by this instance"
 }
 
-// TunnelRefusedError reports that a peer does not connect to an upstream. IsUnreached is set if the peer has tried and did
-// not reach it.
+// TunnelRefusedError reports that a peer does not connect to an upstream. IsUnreached is set if that is due to the upstream:
+// the peer has tried and did not reach it, or it gets no requests as far as the peer knows.
 type TunnelRefusedError struct {
 	Peer        id.Instance
 	IsUnreached bool
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -172,8 +172,9 @@
 	upstream, err := t.config.OnTunnel(ctx, a.peer, a.target)
 	cancel()
 	status := wire.TunnelReply_OPEN
+	var refused *TunnelRefusedError
 	switch {
-	case errors.As(err, new(*TunnelRefusedError)):
+	case errors.As(err, &refused) && !refused.IsUnreached:
 		status = wire.TunnelReply_REFUSED
 	case err != nil:
 		status = wire.TunnelReply_UNREACHED
--- a/internal/steering/simulation_test.go
+++ b/internal/steering/simulation_test.go
@@ -371,7 +371,7 @@
 	for _, helper := range s.instances {
 		if helper.self.Instance == via && !helper.killed && !s.severed[via] {
 			_, ok := helper.state.TunnelAddress(upstream)
-			return ok
+			return ok && helper.state.LendsLinks()
 		}
 	}
 	return false
--- a/internal/steering/uplink.go
+++ b/internal/steering/uplink.go
@@ -182,12 +182,12 @@
 	return !s.uplink.IsSevered() || s.helpers.CanChoose(s.now, region)
 }
 
-// TunnelAddress returns the address of an upstream for another instance that does not reach it, and false if this instance
-// does not lend its links.
+// LendsLinks reports whether this instance connects others to upstreams.
+func (s *State) LendsLinks() bool { return !s.uplink.IsSevered() && !s.stop.isLeaving() }
+
+// TunnelAddress returns the address of an upstream for another instance, and false if it gets no requests as far as this
+// instance knows.
 func (s *State) TunnelAddress(upstream id.Upstream) (string, bool) {
-	if s.uplink.IsSevered() || s.stop.isLeaving() {
-		return "", false
-	}
 	if _, draining := s.epochs.current.Drains[upstream]; draining {
 		return "", false
 	}
--- a/internal/steering/uplink_test.go
+++ b/internal/steering/uplink_test.go
@@ -102,18 +102,15 @@
 	}
 	s.severed = map[id.Instance]bool{}
 	s.run(contactTime)
-	_, ok := s.instances[1].state.TunnelAddress("pregled-1")
-	require.True(t, ok)
+	require.True(t, s.instances[1].state.LendsLinks())
 }
 
 // Guards against instances that lend each other links that neither has.
 func TestSeveredInstanceLendsNoLinks(t *testing.T) {
 	s := newSimulation(t, 44, 7)
 	s.startFleet()
-	_, ok := s.instances[1].state.TunnelAddress("pregled-1")
-	require.True(t, ok)
+	require.True(t, s.instances[1].state.LendsLinks())
 	s.sever(1)
 	s.loadSevered(contactTime, func() *request { return s.newIdempotentRequest("podjetje") })
-	_, ok = s.instances[1].state.TunnelAddress("pregled-1")
-	require.False(t, ok)
+	require.False(t, s.instances[1].state.LendsLinks())
 }
--- a/tunnel.go
+++ b/tunnel.go
@@ -28,10 +28,11 @@
 // connectTunnel connects to an upstream for another instance that does not reach it.
 func (i *Instance) connectTunnel(ctx context.Context, _ id.Instance, target peer.TunnelTarget) (net.Conn, error) {
 	i.mu.Lock()
-	address, ok := i.state.TunnelAddress(target.Upstream)
+	lendsLinks := i.state.LendsLinks()
+	address, isUsable := i.state.TunnelAddress(target.Upstream)
 	i.mu.Unlock()
-	if !ok {
-		return nil, &peer.TunnelRefusedError{Peer: i.config.Self.Instance}
+	if !lendsLinks || !isUsable {
+		return nil, &peer.TunnelRefusedError{Peer: i.config.Self.Instance, IsUnreached: lendsLinks}
 	}
 	conn, err := i.dialUpstream(ctx, address)
 	i.Post(steering.ConnectionTested{Upstream: target.Upstream, IsReached: err == nil})
