--- a/internal/ingress/restored_test.go
+++ b/internal/ingress/restored_test.go
@@ -39,13 +39,19 @@
 	u := &countedUpstream{}
 	h := newHarness(t, serveWith(func(r *http.Request) string { return responseTo(r, "ok") }), u.serve)
 	h.requireUsed(u, true, "before")
+	u.address = h.rowAddress("u1")
+	return h, u
+}
+
+// rowAddress returns the address in the row of an upstream.
+func (h *harness) rowAddress(name string) (address string) {
 	for _, row := range h.feed.changesSince("servers", 0).Rows {
-		if row.Name == "u1" {
-			_, err := fmt.Sscanf(string(row.Value), `{"address":%q`, &u.address)
-			require.NoError(t, err)
+		if row.Name == name {
+			_, err := fmt.Sscanf(string(row.Value), `{"address":%q`, &address)
+			require.NoError(h, err)
 		}
 	}
-	return h, u
+	return address
 }
 
 // uses reports whether an upstream gets one of a number of requests for different objects.
