Send no more requests to an upstream that says in its answers that it leaves

Cause: an upstream was known to leave by its row only. The header was logged as unknown and passed on. Class of fault: a statement that an upstream makes in its answers has no place beside its row. Ruled out: requests that were late on the way, since the first breaches were sent 2.6 s after the answer.

Now the process that said so is marked and gets no new requests; instances tell each other; a list, an old row or a restored store does not bring it back, another process under the name does, and so does a minute without a further answer. Instances that tell each other do not prolong it.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -103,6 +103,9 @@
 	if !r.isWrittenOff {
 		svc.chooser.RecordOutcome(s.now, r.choice, r.placementRequest, placementOutcome(e.Outcome, r.via != ""))
 	}
+	if saysLeaving(e.Outcome) {
+		s.recordLeaving(r)
+	}
 	switch outcome := e.Outcome.(type) {
 	case Answered:
 		r.possibleRuns++
@@ -136,6 +139,17 @@
 	s.dispatchQueued(svc)
 }
 
+// saysLeaving reports whether the upstream has said in its response that it leaves.
+func saysLeaving(o AttemptOutcome) bool {
+	switch o := o.(type) {
+	case Answered:
+		return o.IsLeaving
+	case Shed:
+		return o.IsLeaving
+	}
+	return false
+}
+
 // placementOutcome returns what an outcome says about the upstream.
 func placementOutcome(o AttemptOutcome, isRelayed bool) placement.Outcome {
 	switch o := o.(type) {
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -68,6 +68,14 @@
 	Since time.Time
 }
 
+// UpstreamLeaving reports that an upstream gets no more requests because it has said that it leaves, in the response to the
+// request or to one of another instance.
+type UpstreamLeaving struct {
+	Upstream id.Upstream
+	Request  id.Request
+	From     id.Instance
+}
+
 // Send sends a message to another instance; it may be lost.
 type Send struct {
 	To      id.Instance
@@ -89,6 +97,7 @@
 func (Interrupt) isEffect()          {}
 func (Probe) isEffect()              {}
 func (UplinkChanged) isEffect()      {}
+func (UpstreamLeaving) isEffect()    {}
 func (Send) isEffect()               {}
 func (SetContacts) isEffect()        {}
 func (CoordinatorChanged) isEffect() {}
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -70,6 +70,8 @@
 	Suspects []retry.Report
 	// Limits are the rate limits that upstreams name.
 	Limits []placement.LimitReport
+	// Leavers are the upstreams that have said that they leave.
+	Leavers []LeavingReport
 	// Severed are those of the instance itself and the members that it vouches for that reach no upstream.
 	Severed []id.Instance
 	// IsRestored is set if the heartbeat comes from the older copy from which the store has returned, or is missing there.
@@ -180,6 +182,8 @@
 	Load          *placement.Load
 	// Limit is the rate of requests that the upstream takes from all instances together; nil if it names none.
 	Limit *id.TokensPerSecond
+	// IsLeaving is set if the upstream says that it is leaving.
+	IsLeaving bool
 }
 
 // Shed means that the upstream reported that it did not run the request.
@@ -187,6 +191,8 @@
 	Load *placement.Load
 	// Limit is that of Answered.
 	Limit *id.TokensPerSecond
+	// IsLeaving is that of Answered.
+	IsLeaving bool
 }
 
 // Misdirected means that another upstream responded at the address, without running the request.
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -54,6 +54,8 @@
 	Suspects    []retry.Report
 	// Limits are the rate limits that upstreams name, as far as they are news to the receiver.
 	Limits []placement.LimitReport
+	// Leavers are the upstreams that have said that they leave.
+	Leavers []LeavingReport
 	// IsSevered is set while the sender reaches no upstream.
 	IsSevered bool
 	// StartTime is that of the sender's heartbeats.
@@ -73,6 +75,8 @@
 	Suspects    []retry.Report
 	// Limits are those of MemberReport.
 	Limits []placement.LimitReport
+	// Leavers are those of MemberReport.
+	Leavers []LeavingReport
 	// Severed are the instances of the group that reach no upstream.
 	Severed []id.Instance
 	// StartTime is that of the sender's heartbeats.
@@ -337,6 +341,7 @@
 		s.crashDetector.suspects.MergeReport(s.now, suspect)
 	}
 	s.mergeLimits(b.Limits)
+	s.mergeLeaving(from, b.Leavers)
 	for name, share := range b.LocalShares {
 		if svc := s.services[name]; svc != nil {
 			svc.chooser.RestoreLocalShare(share)
@@ -387,6 +392,7 @@
 			report.OfferedLoad, report.PinnedLoad = s.ownOfferedLoad(s.now), s.ownPinnedLoad(s.now)
 			report.Suspects = c.suspects.changes(s.crashDetector.suspects.Reports(s.now))
 			report.Limits = c.limits.Changes(s.now, s.knownLimits(s.now))
+			report.Leavers = s.Leaving(s.now)
 			report.Lends = s.lendPart(c)
 		}
 		s.emit(Send{To: d.Instance, Message: report})
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -47,11 +47,13 @@
 		s.crashDetector.suspects.MergeReport(s.now, suspect)
 	}
 	s.mergeLimits(r.Limits)
+	s.mergeLeaving(from, r.Leavers)
 	s.updateFraction()
 	beat := CoordinatorBeat{
 		Stamp: s.stamp(), Echo: r.Stamp, Leaving: s.isStopping, StartTime: s.config.StartTime, LocalShares: s.LocalShares(),
 		Suspects: l.suspects.changes(s.crashDetector.suspects.Reports(s.now)),
 		Limits:   l.limits.Changes(s.now, s.knownLimits(s.now)),
+		Leavers:  s.Leaving(s.now),
 		Severed:  s.Severed(),
 	}
 	if s.IsCoordinator() && s.isDeputy(from) && s.now.Sub(l.sharesSentAt) >= sharesInterval && g.shares.hasRead {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -172,6 +172,7 @@
 
 func (s *State) updateMembers(heartbeats []Member) {
 	s.mergeHeartbeatLimits(heartbeats)
+	s.mergeHeartbeatLeaving(heartbeats)
 	s.membership.update(s.now, heartbeats)
 	if instances := s.membership.instances(); !slices.Equal(instances, s.membership.known) {
 		s.membership.known = instances
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -31,11 +31,12 @@
 	isRestored bool
 }
 
-// assignUpstreams assigns the upstreams to their services. A draining upstream gets no new requests and is left out.
+// assignUpstreams assigns the upstreams to their services. One that is draining or has said that it leaves gets no new
+// requests and is left out.
 func (s *State) assignUpstreams() {
 	byService := make(map[id.Service][]placement.Upstream)
 	for _, u := range s.upstreams {
-		if u.Draining {
+		if !s.takesRequests(u) {
 			continue
 		}
 		byService[u.Service] = append(byService[u.Service], placement.Upstream{
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -42,6 +42,8 @@
 	configuration      Configuration
 	routes             routeTable
 	upstreams          map[id.Upstream]Upstream
+	// leaving are the upstreams that have said in a response that they leave.
+	leaving map[id.Upstream]leavingUpstream
 	// regions are those of the upstreams.
 	regions    map[id.Region]bool
 	evacuated  map[id.DataCentre]bool
@@ -98,6 +100,7 @@
 		config:        c,
 		random:        rand.New(rand.NewPCG(c.Seed, c.Seed>>1+1)),
 		upstreams:     make(map[id.Upstream]Upstream),
+		leaving:       make(map[id.Upstream]leavingUpstream),
 		membership:    newMembership(c.Instance, c.StartTime),
 		services:      make(map[id.Service]*service),
 		organisations: make(map[id.Organisation]*organisation),
@@ -298,6 +301,7 @@
 func (s *State) handleTick() {
 	s.sendReports()
 	s.checkUplink()
+	s.expireLeaving()
 	s.expireTokens()
 	for _, name := range s.serviceNames {
 		svc := s.services[name]
--- a/internal/entry/uplink.go
+++ b/internal/entry/uplink.go
@@ -54,7 +54,7 @@
 func (s *State) probeCandidates() []uplink.Upstream {
 	candidates := make([]uplink.Upstream, 0, len(s.upstreams))
 	for _, name := range slices.Sorted(maps.Keys(s.upstreams)) {
-		if u := s.upstreams[name]; !u.Draining && !s.evacuated[u.DataCentre] {
+		if u := s.upstreams[name]; s.takesRequests(u) && !s.evacuated[u.DataCentre] {
 			candidates = append(candidates, uplink.Upstream{ID: name, DataCentre: u.DataCentre})
 		}
 	}
@@ -208,7 +208,7 @@
 // as this instance knows.
 func (s *State) TunnelAddress(upstream id.Upstream, incarnation id.Incarnation) (string, bool) {
 	u, ok := s.upstreams[upstream]
-	if !ok || u.Incarnation != incarnation || u.Draining || s.evacuated[u.DataCentre] {
+	if !ok || u.Incarnation != incarnation || !s.takesRequests(u) || s.evacuated[u.DataCentre] {
 		return "", false
 	}
 	return u.Address, true
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -161,7 +161,9 @@
 	case parsed.headers.IsMisdirected:
 		return entry.Misdirected{}, isReusable
 	case parsed.headers.IsNotExecuted && status >= http.StatusBadRequest:
-		return entry.Shed{Load: parsed.headers.Load, Limit: parsed.headers.Limit}, isReusable
+		return entry.Shed{
+			Load: parsed.headers.Load, Limit: parsed.headers.Limit, IsLeaving: parsed.headers.IsLeaving,
+		}, isReusable
 	case !parsed.headers.IsSigned || parsed.headers.AttemptID != x.callerHeaders.AttemptID ||
 		header.Get("Content-Encoding") != "":
 		return x.classifyError(startedAt, &UnexpectedResponseError{Status: status}), false
@@ -205,6 +207,7 @@
 	return entry.Answered{
 		Status: status, IsServerError: status >= http.StatusInternalServerError, Elapsed: time.Since(startedAt),
 		Size: id.Bytes(len(parsed.body)), Load: parsed.headers.Load, Limit: parsed.headers.Limit,
+		IsLeaving: parsed.headers.IsLeaving,
 	}
 }
 
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -95,6 +95,8 @@
 	Load          *placement.Load
 	// Limit is the rate of requests that the upstream takes from all instances together; nil if it names none.
 	Limit *id.TokensPerSecond
+	// IsLeaving is set if the upstream says that it is leaving.
+	IsLeaving bool
 	// Unknown are the names of headers that the codec does not know.
 	Unknown []string
 }
--- a/internal/ingress/heartbeat.go
+++ b/internal/ingress/heartbeat.go
@@ -155,6 +155,8 @@
 	Suspects []suspectReport `json:"suspects,omitempty"`
 	// Limits are the rate limits that upstreams name.
 	Limits []limitReport `json:"limits,omitempty"`
+	// Leavers are the upstreams that have said that they leave.
+	Leavers []leavingReport `json:"leavers,omitempty"`
 	// Severed are those of the instance itself and the members that it vouches for that reach no upstream.
 	Severed []id.Instance `json:"severed,omitempty"`
 	// Era is that of the store as the instance knew it; zero if it knew none.
@@ -171,6 +173,14 @@
 	AgeMillis int64 `json:"age"`
 }
 
+// leavingReport is the JSON of an entry.LeavingReport.
+type leavingReport struct {
+	Upstream    id.Upstream    `json:"upstream"`
+	Incarnation id.Incarnation `json:"process"`
+	// AgeMillis is the time since the response that said so.
+	AgeMillis int64 `json:"age"`
+}
+
 // suspectReport is the JSON of a retry.Report: a request that was in flight at crashes of Upstreams, or that has
 // completed since if there are none.
 type suspectReport struct {
@@ -186,7 +196,7 @@
 	offeredLoad, pinnedLoad, reports := f.state.OfferedLoad(now), f.state.PinnedLoad(now), f.state.Suspects(now)
 	localShares, limits := f.state.LocalShares(), f.state.UpstreamLimits(now)
 	vouched, upToDateAsOf := f.state.Vouched(now)
-	severed := f.state.Severed()
+	severed, leaving := f.state.Severed(), f.state.Leaving(now)
 	f.mu.Unlock()
 	var suspects []suspectReport
 	for _, r := range reports {
@@ -200,12 +210,16 @@
 			Upstream: r.Upstream, Incarnation: r.Incarnation, Rate: r.Limit, AgeMillis: r.Age.Milliseconds(),
 		})
 	}
+	var leavers []leavingReport
+	for _, r := range leaving {
+		leavers = append(leavers, leavingReport{Upstream: r.Upstream, Incarnation: r.Incarnation, AgeMillis: r.Age.Milliseconds()})
+	}
 	rows := f.tables[f.config.Tables.Members].mirror
 	value, err := json.Marshal(heartbeatRow{
 		Address: f.config.CallerAddress, Region: f.config.Region, DataCentre: f.config.DataCentre,
 		PeerAddress: f.config.PeerAddress, Capacity: f.config.LinkCapacity, Vouched: vouched, Leaving: isLeaving, ReadVersion: f.relayedVersion(upToDateAsOf),
 		StartTime: f.startTime, OfferedLoad: offeredLoad, PinnedLoad: pinnedLoad, LocalShares: localShares,
-		Suspects: suspects, Limits: limitRows, Severed: severed, Era: store.EraOf(rows.Version()),
+		Suspects: suspects, Limits: limitRows, Leavers: leavers, Severed: severed, Era: store.EraOf(rows.Version()),
 	})
 	if err != nil {
 		return err
@@ -260,6 +274,12 @@
 			Upstream: l.Upstream, Incarnation: l.Incarnation, Limit: l.Rate, Age: time.Duration(l.AgeMillis) * time.Millisecond,
 		})
 	}
+	var leavers []entry.LeavingReport
+	for _, l := range heartbeat.Leavers {
+		leavers = append(leavers, entry.LeavingReport{
+			Upstream: l.Upstream, Incarnation: l.Incarnation, Age: time.Duration(l.AgeMillis) * time.Millisecond,
+		})
+	}
 	if heartbeat.Era == 0 {
 		// The instance does not know eras; it has read this one.
 		heartbeat.ReadVersion = store.VersionInEra(store.EraOf(change.Version), heartbeat.ReadVersion)
@@ -269,7 +289,7 @@
 		Address: heartbeat.Address, PeerAddress: heartbeat.PeerAddress, Capacity: heartbeat.Capacity, Vouched: heartbeat.Vouched,
 		Leaving: heartbeat.Leaving, Version: change.Version, ReadVersion: heartbeat.ReadVersion,
 		StartTime: heartbeat.StartTime, OfferedLoad: heartbeat.OfferedLoad, PinnedLoad: heartbeat.PinnedLoad,
-		LocalShares: heartbeat.LocalShares, Suspects: suspects, Limits: limits, Severed: heartbeat.Severed,
+		LocalShares: heartbeat.LocalShares, Suspects: suspects, Limits: limits, Leavers: leavers, Severed: heartbeat.Severed,
 		IsRestored: isRestored(heartbeat.Era, change),
 	}
 }
--- a/internal/ingress/instance.go
+++ b/internal/ingress/instance.go
@@ -285,6 +285,9 @@
 	case entry.Probe:
 		i.goroutines.Go(func() { i.probeUpstream(e) })
 		return
+	case entry.UpstreamLeaving:
+		i.logLeaving(e)
+		return
 	case entry.UplinkChanged:
 		i.handleUplinkChange(e)
 		return
@@ -308,6 +311,15 @@
 	x.effects <- e
 }
 
+// logLeaving logs that an upstream gets no more requests. The caller holds mu.
+func (i *Instance) logLeaving(e entry.UpstreamLeaving) {
+	var attemptID string
+	if x := i.exchanges[e.Request]; x != nil {
+		attemptID = x.callerHeaders.AttemptID
+	}
+	i.log.Info("upstreams: no more requests to one that says it is leaving", "upstream", e.Upstream, "id", attemptID, "from", e.From)
+}
+
 // requestHeartbeat triggers a heartbeat ahead of schedule; at most one request is pending.
 func (i *Instance) requestHeartbeat() {
 	select {
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -18,11 +18,12 @@
 			Stamp: int64(m.Stamp), Echo: int64(m.Echo), Lends: m.Lends, Started: m.StartTime,
 			Loads: encodeLoads(m.OfferedLoad, m.PinnedLoad), Suspects: encodeSuspects(m.Suspects),
 			Limits: encodeLimits(m.Limits), Severed: m.IsSevered,
+			Leavers: encodeLeavers(m.Leavers),
 		}}}
 	case entry.CoordinatorBeat:
 		beat := &wire.CoordinatorBeat{
 			Stamp: int64(m.Stamp), Echo: int64(m.Echo), Leaving: m.Leaving, Suspects: encodeSuspects(m.Suspects),
-			Started: m.StartTime, Limits: encodeLimits(m.Limits),
+			Started: m.StartTime, Limits: encodeLimits(m.Limits), Leavers: encodeLeavers(m.Leavers),
 		}
 		for _, name := range m.Severed {
 			beat.Severed = append(beat.Severed, string(name))
@@ -76,7 +77,7 @@
 		Stamp: entry.Stamp(r.GetStamp()), Echo: entry.Stamp(r.GetEcho()), Lends: r.GetLends(),
 		OfferedLoad: make(map[id.Service]float64), PinnedLoad: make(map[id.Service]map[id.Region]float64),
 		Suspects: decodeSuspects(r.GetSuspects()), Limits: decodeLimits(r.GetLimits()), StartTime: r.GetStarted(),
-		IsSevered: r.GetSevered(),
+		IsSevered: r.GetSevered(), Leavers: decodeLeavers(r.GetLeavers()),
 	}
 	for _, l := range r.GetLoads() {
 		service, slots := id.Service(l.GetService()), l.GetSlots()
@@ -102,7 +103,7 @@
 	beat := entry.CoordinatorBeat{
 		Stamp: entry.Stamp(b.GetStamp()), Echo: entry.Stamp(b.GetEcho()), Leaving: b.GetLeaving(),
 		LocalShares: make(map[id.Service]float64), Suspects: decodeSuspects(b.GetSuspects()),
-		Limits: decodeLimits(b.GetLimits()), StartTime: b.GetStarted(),
+		Limits: decodeLimits(b.GetLimits()), StartTime: b.GetStarted(), Leavers: decodeLeavers(b.GetLeavers()),
 	}
 	for _, name := range b.GetSevered() {
 		beat.Severed = append(beat.Severed, id.Instance(name))
@@ -196,3 +197,23 @@
 	}
 	return reports
 }
+
+func encodeLeavers(reports []entry.LeavingReport) []*wire.LeavingUpstream {
+	var leavers []*wire.LeavingUpstream
+	for _, r := range reports {
+		leavers = append(leavers, &wire.LeavingUpstream{
+			Upstream: string(r.Upstream), Incarnation: uint64(r.Incarnation), Age: int64(r.Age),
+		})
+	}
+	return leavers
+}
+
+func decodeLeavers(leavers []*wire.LeavingUpstream) []entry.LeavingReport {
+	var reports []entry.LeavingReport
+	for _, l := range leavers {
+		reports = append(reports, entry.LeavingReport{
+			Upstream: id.Upstream(l.GetUpstream()), Incarnation: id.Incarnation(l.GetIncarnation()), Age: time.Duration(l.GetAge()),
+		})
+	}
+	return reports
+}
