Give upstreams the rest that they ask for

Cause: Retry-After was listed as a known header and not read; a rejection only raised an error rate that halves in a second. Class of fault: as with statements of leaving, one that an upstream makes in its answers has no place beside its row. Ruled out: requests that were on their way, since those of the first breach were sent 1.5 s later; several instances counted as one.

Now the upstream gets no request of the instance until the end that it named, at most 10 min, and then one at a time until it has answered. While all upstreams of a service rest, requests wait if that is soon enough and are refused at once with that time otherwise.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -155,10 +155,11 @@
 	switch o := o.(type) {
 	case Answered:
 		return placement.Answered{
-			Elapsed: o.Elapsed, Size: o.Size, Load: o.Load, Limit: o.Limit, IsRelayed: isRelayed,
+			Elapsed: o.Elapsed, Size: o.Size, Load: o.Load, Limit: o.Limit, Rest: o.Rest,
+			IsRelayed: isRelayed,
 		}
 	case Shed:
-		return placement.Shed{Load: o.Load, Limit: o.Limit}
+		return placement.Shed{Load: o.Load, Limit: o.Limit, Rest: o.Rest}
 	case Misdirected:
 		return placement.Misdirected{}
 	case NothingSent:
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -184,6 +184,8 @@
 	Limit *id.TokensPerSecond
 	// IsLeaving is set if the upstream says that it is leaving.
 	IsLeaving bool
+	// Rest is how long the upstream wants no further request of this instance; zero means that it does not say.
+	Rest time.Duration
 }
 
 // Shed means that the upstream reported that it did not run the request.
@@ -191,8 +193,9 @@
 	Load *placement.Load
 	// Limit is that of Answered.
 	Limit *id.TokensPerSecond
-	// IsLeaving is that of Answered.
+	// IsLeaving and Rest are those of Answered.
 	IsLeaving bool
+	Rest      time.Duration
 }
 
 // Misdirected means that another upstream responded at the address, without running the request.
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -163,6 +163,7 @@
 	case parsed.headers.IsNotExecuted && status >= http.StatusBadRequest:
 		return entry.Shed{
 			Load: parsed.headers.Load, Limit: parsed.headers.Limit, IsLeaving: parsed.headers.IsLeaving,
+			Rest: parsed.headers.Rest,
 		}, isReusable
 	case !parsed.headers.IsSigned || parsed.headers.AttemptID != x.callerHeaders.AttemptID ||
 		header.Get("Content-Encoding") != "":
@@ -207,7 +208,7 @@
 	return entry.Answered{
 		Status: status, IsServerError: status >= http.StatusInternalServerError, Elapsed: time.Since(startedAt),
 		Size: id.Bytes(len(parsed.body)), Load: parsed.headers.Load, Limit: parsed.headers.Limit,
-		IsLeaving: parsed.headers.IsLeaving,
+		IsLeaving: parsed.headers.IsLeaving, Rest: parsed.headers.Rest,
 	}
 }
 
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -97,6 +97,8 @@
 	Limit *id.TokensPerSecond
 	// IsLeaving is set if the upstream says that it is leaving.
 	IsLeaving bool
+	// Rest is how long the upstream wants no further request of this instance; zero means that it does not say.
+	Rest time.Duration
 	// Unknown are the names of headers that the codec does not know.
 	Unknown []string
 }
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -51,6 +51,8 @@
 	// peers are the instances that divide the limits that upstreams name, and limits are the known ones.
 	peers  []Peer
 	limits map[id.Upstream]*rateLimit
+	// rests are those that upstreams have asked for.
+	rests map[id.Upstream]*rest
 	// rankings caches the ranked upstreams of objects, and candidateBuffer is reused by each call of Choose.
 	rankings        map[string]*objectRankings
 	candidateBuffer []candidate
@@ -72,6 +74,7 @@
 		config: c, upstreams: make(map[id.Upstream]*upstream), routes: make(map[id.Route]*routeStats),
 		rtts: make(map[id.Region]time.Duration), rankings: make(map[string]*objectRankings),
 		limits:          make(map[id.Upstream]*rateLimit),
+		rests:           make(map[id.Upstream]*rest),
 		candidateBuffer: make([]candidate, 0, maxCandidates),
 	}
 }
@@ -99,6 +102,7 @@
 	}
 	c.upstreams = upstreams
 	c.reattachLimits(now)
+	c.reattachRests(now)
 	slices.SortFunc(c.ordered, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
 	c.rankings = make(map[string]*objectRankings)
 	if !c.isDemandKnown {
@@ -234,7 +238,10 @@
 			return choice, true
 		}
 	}
-	return c.cheapest(now, req, stats, weight, c.allCandidates())
+	if choice, ok := c.cheapest(now, req, stats, weight, c.allCandidates()); ok {
+		return choice, true
+	}
+	return c.chooseResting(now, req, stats)
 }
 
 // allCandidates returns every upstream as a candidate with a cold cache.
@@ -283,6 +290,9 @@
 func (c *Chooser) utilisation(now time.Time) float64 {
 	var busy, slots float64
 	for _, u := range c.ordered {
+		if u.isResting(now) {
+			continue
+		}
 		busy += min(float64(u.inFlight())+u.currentOtherLoad(now), float64(u.Slots))
 		slots += float64(u.Slots)
 	}
@@ -290,6 +300,11 @@
 }
 
 func (c *Chooser) isUsable(now time.Time, u *upstream, req Request) bool {
+	return !u.isResting(now) && c.isAllowed(now, u, req)
+}
+
+// isAllowed reports whether an upstream may get the request, apart from the rest that it has asked for.
+func (c *Chooser) isAllowed(now time.Time, u *upstream, req Request) bool {
 	switch {
 	case c.evacuated[u.DataCentre], !req.Allows(u.Region), slices.Contains(req.Exclude, u.ID):
 		return false
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -18,6 +18,8 @@
 	Load    *Load
 	// Limit is the rate that the upstream takes from all instances together; nil if the response names none.
 	Limit *id.TokensPerSecond
+	// Rest is how long the upstream wants no further request of this instance; zero means that it does not say.
+	Rest time.Duration
 	// IsRelayed is set if another instance stood between this one and the upstream, so that Elapsed says little about the
 	// upstream.
 	IsRelayed bool
@@ -26,8 +28,9 @@
 // Shed means that the upstream reported that it did not run the request.
 type Shed struct {
 	Load *Load
-	// Limit is that of Answered.
+	// Limit and Rest are those of Answered.
 	Limit *id.TokensPerSecond
+	Rest  time.Duration
 }
 
 // Misdirected means that another upstream responded at the address.
@@ -120,12 +123,14 @@
 	case Answered:
 		u.consecutiveFailures = 0
 		u.observeLoad(now, o.Load)
+		c.observeRest(now, u, o.Rest)
 		c.observeLimit(now, u, o.Limit)
 		u.observeProcessing(now, choice, req, c.stats(req), o)
 		u.errorRate, u.errorRateAt = u.currentErrorRate(now)*(1-errorRateWeight), now
 	case Shed:
 		u.consecutiveFailures = 0
 		u.observeLoad(now, o.Load)
+		c.observeRest(now, u, o.Rest)
 		if o.Limit != nil {
 			// Only the response to a request that ran shows that a limit has ended.
 			c.observeLimit(now, u, o.Limit)
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -53,6 +53,8 @@
 	assumedColdUntil time.Time
 	// limit is the limit that the upstream named; nil if there has been none.
 	limit *rateLimit
+	// rest is the rest that the upstream asked for; nil if it has answered since.
+	rest *rest
 	// processingTimes holds the expected processing time of each object that the upstream handled.
 	processingTimes map[objectKey]sample
 	// warmingSince holds the time of the first request in flight for an object that the upstream was not known to have
