Give upstreams the rest that they ask for in fleets run by release notes too

Package balance excludes a resting upstream and starts it slowly afterwards; a request that no upstream can take before its deadline is refused at once with the time at which the first one can.

--- a/balance/chooser.go
+++ b/balance/chooser.go
@@ -73,7 +73,7 @@
 	configured       []*upstream // in the order of the configuration
 	regions          map[id.Region]*region
 	panicMode        bool
-	nextReview       time.Time // when the next unhealthy period ends; zero if all are healthy
+	nextReview       time.Time // when the next unhealthy period or rest ends; zero if there is none
 	pendingExclusive *upstream // chosen by the last call for an exclusive request
 	probeCursor      int       // index in configured of the upstream last considered for a probe
 
@@ -101,13 +101,14 @@
 	generation   int  // of the last configuration that lists it
 	exclusive    bool // an exclusive request runs
 	slowStartEnd time.Time
+	restUntil    time.Time // end of the rest that it asked for; zero if it does not rest
 	health       health
 	load         load
 }
 
-// acceptsNew reports whether the configuration allows new requests on u.
+// acceptsNew reports whether the configuration, and u itself, allow new requests on u.
 func (u *upstream) acceptsNew() bool {
-	return !u.Draining && !u.removed
+	return !u.Draining && !u.removed && u.restUntil.IsZero()
 }
 
 // limit is the maximum number of requests that this instance may run on u.
--- a/balance/outcome.go
+++ b/balance/outcome.go
@@ -16,8 +16,9 @@
 // Succeeded means that the upstream sent a complete response.
 type Succeeded struct{}
 
-// Shed means that the upstream reported that it did not run the request.
-type Shed struct{}
+// Shed means that the upstream reported that it did not run the request. It wants no further request of this instance for
+// the time Rest.
+type Shed struct{ Rest time.Duration }
 
 // Failed means that the upstream responded with a server error or timed out.
 type Failed struct{}
@@ -95,7 +96,7 @@
 // applyOutcome updates the health and load of u with the outcome of a request.
 func (c *Chooser) applyOutcome(now time.Time, u *upstream, o Outcome) {
 	h := &u.health
-	switch o.(type) {
+	switch o := o.(type) {
 	case Succeeded:
 		h.updateErrorRate(now, c.config.OutcomeHalfLife, 0)
 		h.consecutiveFailures, h.down = 0, false
@@ -104,6 +105,7 @@
 		h.updateErrorRate(now, c.config.OutcomeHalfLife, 1)
 		u.load.inFlight = max(u.load.inFlight, float64(u.limit()))
 		c.setOthersLoad(u, max(u.load.othersInFlight, float64(u.limit()-u.inFlight)), now)
+		c.rest(now, u, o.Rest)
 	case Failed:
 		h.updateErrorRate(now, c.config.OutcomeHalfLife, 1)
 		h.consecutiveFailures++
@@ -117,6 +119,36 @@
 	}
 }
 
+// maxRest bounds the rest that an upstream gets, so that a wrong number does not take it away for good.
+const maxRest = 10 * time.Minute
+
+// rest excludes an upstream from new requests for the time that it asked for. It gets a slow start afterwards, so that not
+// all requests return at once.
+func (c *Chooser) rest(now time.Time, u *upstream, asked time.Duration) {
+	until := now.Add(min(asked, maxRest))
+	if asked <= 0 || !until.After(u.restUntil) {
+		return
+	}
+	u.restUntil = until
+	c.reviewHealth(now)
+}
+
+// RestUntil returns when the first upstream ends its rest, and false unless all upstreams that the configuration allows
+// rest.
+func (c *Chooser) RestUntil(now time.Time) (time.Time, bool) {
+	c.reviewIfDue(now)
+	var first time.Time
+	for _, u := range c.configured {
+		switch {
+		case u.acceptsNew():
+			return time.Time{}, false
+		case !u.restUntil.IsZero() && !u.Draining && (first.IsZero() || u.restUntil.Before(first)):
+			first = u.restUntil
+		}
+	}
+	return first, !first.IsZero()
+}
+
 // markUnhealthy starts an unhealthy period with exponential backoff. Requests that fail during the period don't extend it,
 // so that all failures of one crash count as one.
 func (c *Chooser) markUnhealthy(now time.Time, u *upstream) {
@@ -162,6 +194,9 @@
 	c.nextReview = time.Time{}
 	for _, u := range c.configured {
 		c.recoverIfDue(now, u)
+		if !u.restUntil.IsZero() && (c.nextReview.IsZero() || u.restUntil.Before(c.nextReview)) {
+			c.nextReview = u.restUntil
+		}
 		if !u.acceptsNew() {
 			u.health.ejected = false
 			continue
@@ -196,9 +231,12 @@
 	}
 }
 
-// recoverIfDue ends an expired unhealthy period. The upstream has probably been restarted, so it gets a slow start.
+// recoverIfDue ends an expired rest, and an expired unhealthy period. After that, the upstream has probably been restarted, so it gets a slow start.
 func (c *Chooser) recoverIfDue(now time.Time, u *upstream) {
 	h := &u.health
+	if !u.restUntil.IsZero() && !now.Before(u.restUntil) {
+		u.restUntil, u.slowStartEnd = time.Time{}, now.Add(c.config.SlowStart)
+	}
 	if h.unhealthyUntil.IsZero() || now.Before(h.unhealthyUntil) {
 		return
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -16,6 +16,7 @@
 	"bluebellhold/claim"
 	"bluebellhold/id"
 	"bluebellhold/internal/steering"
+	"bluebellhold/retry"
 )
 
 var copyBufferPool = sync.Pool{New: func() any { return new([32 << 10]byte) }}
@@ -53,7 +54,7 @@
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(headerOutcome) == string(steering.NotRun) {
 		_, _ = io.CopyN(io.Discard, response.Body, int64(MaxBufferedBody))
-		a.end(steering.Shed{})
+		a.end(steering.Shed{Rest: retry.ParseAfter(response.Header.Get("Retry-After"))})
 		return false
 	}
 	return a.forwardResponse(response)
--- a/internal/steering/attempt.go
+++ b/internal/steering/attempt.go
@@ -33,7 +33,7 @@
 	case Answered:
 		return balance.Succeeded{}
 	case Shed:
-		return balance.Shed{}
+		return balance.Shed{Rest: e.Rest}
 	case NothingSent:
 		if e.DispatchExpired || e.IsHelperFailed {
 			return balance.Cancelled{}
--- a/internal/steering/event.go
+++ b/internal/steering/event.go
@@ -190,8 +190,11 @@
 	Size     id.Bytes
 }
 
-// Shed means that the upstream reported that it did not run the request.
-type Shed struct{}
+// Shed means that the upstream reported that it did not run the request. It wants no further request of this instance for
+// the time Rest.
+type Shed struct {
+	Rest time.Duration
+}
 
 // NothingSent means that the attempt failed before the first byte of the request was sent.
 //
--- a/internal/steering/request.go
+++ b/internal/steering/request.go
@@ -235,6 +235,10 @@
 		s.refuse(r, Refusal{Code: CodeNoRoute, Outcome: NotRun})
 		return
 	}
+	if until, ok := r.service.chooser.RestUntil(s.now); ok && until.After(r.deadline) {
+		s.refuse(r, Refusal{Code: CodeCapacity, Outcome: refusalOutcome(r.mayHaveRun), RetryAt: until})
+		return
+	}
 	r.stage = stageQueued
 	r.queueOrganisation = r.organisation.id
 	r.isOutsideQueue = false
--- a/internal/steering/simulation_test.go
+++ b/internal/steering/simulation_test.go
@@ -73,6 +73,7 @@
 	started      int
 	lastStart    time.Time
 	down         bool
+	rest         time.Duration // it turns all requests away and asks for so long
 }
 
 // regionLoad counts the requests that are in flight in a region, from their dispatch to the instance's AttemptEnded.
@@ -351,6 +352,10 @@
 		case target.down:
 			s.after(networkDelay, func() { s.attemptEnded(n, target, e.Request, steering.NothingSent{}) })
 			return
+		case target.rest > 0:
+			target.shed++
+			s.after(networkDelay, func() { s.attemptEnded(n, target, e.Request, steering.Shed{Rest: target.rest}) })
+			return
 		case target.inFlight >= target.slots:
 			target.shed++
 			s.after(networkDelay, func() { s.attemptEnded(n, target, e.Request, steering.Shed{}) })
