--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/urfave/cli/v3"
 
 	"bluebellhold"
+	_ "bluebellhold/internal/hangup" // the platform may send SIGHUP at any time
 	"bluebellhold/internal/settings"
 	"bluebellhold/store"
 )
--- /dev/null
+++ b/internal/hangup/hangup.go
@@ -0,0 +1,6 @@
+//go:build cgo
+
+package hangup
+
+// #include <signal.h>
+import "C"
