--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -19,21 +19,31 @@
 
 // FreeAddress returns an address of 127.0.0.1 whose port is free.
 //
+// The port may stay in use for some milliseconds if the process starts another one meanwhile, which inherits the socket
+// until it executes its program. A caller that listens at once uses Listen instead.
+func FreeAddress() (string, error) {
+	listener, err := Listen()
+	if err != nil {
+		return "", err
+	}
+	return listener.Addr().String(), listener.Close()
+}
+
+// Listen listens on a free port of 127.0.0.1, which no outgoing connection takes once the listener is closed.
+//
 // The first port depends on the process id: processes with consecutive ids start 61 ports apart, so that they rarely
 // try the same ports.
-func FreeAddress() (string, error) {
+func Listen() (net.Listener, error) {
 	var lastErr error
 	for range endPort - firstPort {
 		n := (int64(os.Getpid())*61 + attemptCount.Add(1)) % (endPort - firstPort)
-		address := net.JoinHostPort("127.0.0.1", strconv.FormatInt(firstPort+n, 10))
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			lastErr = err
-			continue
+		listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.FormatInt(firstPort+n, 10)))
+		if err == nil {
+			return listener, nil
 		}
-		return address, listener.Close()
+		lastErr = err
 	}
-	return "", &PortError{Cause: lastErr}
+	return nil, &PortError{Cause: lastErr}
 }
 
 // PortError reports that no port is free.
