--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -277,6 +277,7 @@
 	for _, u := range upstreams {
 		s.upstreams[u.ID], s.regions[u.Region] = u, true
 	}
+	s.uplink.Retain(func(name id.Upstream) bool { _, ok := s.upstreams[name]; return ok })
 	for name, u := range previous {
 		if current, ok := s.upstreams[name]; !ok || current.Incarnation != u.Incarnation {
 			s.crashDetector.recordCrash(s.now, processID(u))
@@ -321,7 +322,11 @@
 			return now.Add(queuePollInterval)
 		}
 	}
-	next := later(earlier(s.group.nextReportAt, s.nextUplinkCheckAt), now)
+	next := s.group.nextReportAt
+	if s.uplink.MayNeedProbes() {
+		next = earlier(next, s.nextUplinkCheckAt)
+	}
+	next = later(next, now)
 	if len(s.tokenWaiters) > 0 {
 		return earlier(next, now.Add(tokenPollInterval))
 	}
--- a/internal/entry/uplink.go
+++ b/internal/entry/uplink.go
@@ -39,6 +39,9 @@
 			}
 		}
 	}
+	if !s.uplink.MayNeedProbes() {
+		return
+	}
 	for _, name := range s.uplink.Probes(s.now, s.probeCandidates()) {
 		u := s.upstreams[name]
 		s.emit(Probe{Upstream: name, Incarnation: u.Incarnation, Address: u.Address})
@@ -79,7 +82,10 @@
 		s.crashDetector.recordCrash(s.now, r.processID)
 		return
 	}
-	s.pendingCrashes = append(s.pendingCrashes, pendingCrash{r.processID, s.now})
+	s.pendingCrashes = slices.DeleteFunc(s.pendingCrashes, func(c pendingCrash) bool { return s.now.Sub(c.at) >= pendingCrashTTL })
+	if !s.uplink.IsSevered() {
+		s.pendingCrashes = append(s.pendingCrashes, pendingCrash{r.processID, s.now})
+	}
 	s.recordReach(r.choice.Upstream, false)
 }
 
--- a/internal/steering/service.go
+++ b/internal/steering/service.go
@@ -92,6 +92,14 @@
 		}
 	}
 	s.serviceNames = slices.Sorted(maps.Keys(s.services))
+	s.uplink.Retain(func(u id.Upstream) bool {
+		for _, svc := range s.services {
+			if _, ok := svc.upstreams[u]; ok {
+				return true
+			}
+		}
+		return false
+	})
 }
 
 func (s *State) newService(name id.Service) *service {
--- a/internal/steering/suspect.go
+++ b/internal/steering/suspect.go
@@ -36,9 +36,15 @@
 func (s *State) updateSuspects(r *request, e AttemptOutcome) {
 	switch e.(type) {
 	case Broken:
+		if s.uplink.IsSevered() && r.via.Instance == "" {
+			// This instance's links have failed, and not the upstream.
+			return
+		}
 		inFlight := s.inFlightDigests(r.upstream)
 		s.suspects.RecordCrash(s.now, r.upstream, inFlight)
-		s.pendingCrashes = append(s.pendingCrashes, pendingCrash{r.upstream, inFlight, s.now})
+		if r.via.Instance == "" {
+			s.pendingCrashes = append(s.pendingCrashes, pendingCrash{r.upstream, inFlight, s.now})
+		}
 		s.log("retry", "upstream closed its connection during a request",
 			"upstream", r.upstream, "requests", len(inFlight))
 	case Answered:
--- a/internal/steering/uplink.go
+++ b/internal/steering/uplink.go
@@ -42,6 +42,9 @@
 	if !s.uplink.IsSuspect() {
 		s.confirmCrashes(s.now.Add(-crashConfirmTime))
 	}
+	if !s.uplink.MayNeedProbes() {
+		return
+	}
 	addresses, candidates := s.uplinkCandidates()
 	for _, u := range s.uplink.Probes(s.now, candidates) {
 		s.emit(TestConnection{Upstream: u, Address: addresses[u]})
--- a/internal/uplink/tracker.go
+++ b/internal/uplink/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -136,11 +137,26 @@
 	return true
 }
 
+// MayNeedProbes reports whether Probes may return any.
+func (t *Tracker) MayNeedProbes() bool {
+	return t.IsSevered() || len(t.unreached) > 0 || len(t.silent) > 0
+}
+
+// Retain forgets the upstreams for which isKnown returns false.
+func (t *Tracker) Retain(isKnown func(id.Upstream) bool) {
+	isGone := func(u id.Upstream, _ time.Time) bool { return !isKnown(u) }
+	maps.DeleteFunc(t.unreached, isGone)
+	maps.DeleteFunc(t.silent, isGone)
+	maps.DeleteFunc(t.answeredAt, isGone)
+	maps.DeleteFunc(t.probing, func(u id.Upstream, _ bool) bool { return !isKnown(u) })
+	maps.DeleteFunc(t.reached, func(u id.Upstream, _ bool) bool { return !isKnown(u) })
+}
+
 // Probes returns the upstreams that are to be probed now; the results are recorded with RecordConnected and
 // RecordUnreached.
 func (t *Tracker) Probes(now time.Time, upstreams []Upstream) []id.Upstream {
 	t.count = len(upstreams)
-	t.prune(now, upstreams)
+	t.expire(now)
 	count := suspicionProbes
 	switch {
 	case len(upstreams) == 0 || now.Before(t.nextProbeAt):
@@ -175,29 +191,11 @@
 	return n
 }
 
-// prune removes outdated failures and upstreams that have left.
-func (t *Tracker) prune(now time.Time, upstreams []Upstream) {
-	known := make(map[id.Upstream]bool, len(upstreams))
-	for _, u := range upstreams {
-		known[u.ID] = true
-	}
-	for _, failures := range []map[id.Upstream]time.Time{t.unreached, t.silent} {
-		for u, at := range failures {
-			if now.Sub(at) >= failureTTL || !known[u] {
-				delete(failures, u)
-			}
-		}
-	}
-	for u := range t.answeredAt {
-		if !known[u] {
-			delete(t.answeredAt, u)
-		}
-	}
-	for u := range t.probing {
-		if !known[u] {
-			delete(t.probing, u)
-		}
-	}
+// expire removes outdated failures.
+func (t *Tracker) expire(now time.Time) {
+	isOutdated := func(_ id.Upstream, at time.Time) bool { return now.Sub(at) >= failureTTL }
+	maps.DeleteFunc(t.unreached, isOutdated)
+	maps.DeleteFunc(t.silent, isOutdated)
 }
 
 // rank orders the upstreams by how much a probe of them tells: those that did not fail first, and each data centre once
--- a/internal/uplink/tracker_test.go
+++ b/internal/uplink/tracker_test.go
@@ -123,6 +123,7 @@
 	tracker.RecordUnreached(start, probes[0])
 	// The other one leaves before its probe ends.
 	left := []uplink.Upstream{{ID: probes[0], DataCentre: "d0"}}
+	tracker.Retain(func(u id.Upstream) bool { return u == probes[0] })
 	fail(tracker, start.Add(time.Second), 1)
 	require.NotEmpty(t, tracker.Probes(start.Add(time.Second), left))
 }
