Look up severed instances in a set, and start no probe that a stop would wait for

Found while reading: a look-up went through the heartbeats of all members for each member; an interruption that came after the end of its attempt was taken for one of the next attempt.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -28,6 +28,8 @@
 	members map[id.Instance]*member
 	// known are the sorted names of the members as of the last read.
 	known []id.Instance
+	// severed are those that reach no upstream, according to live heartbeats as of the last read.
+	severed map[id.Instance]bool
 	// peers are those that divide the limits of upstreams as of the last read.
 	peers []placement.Peer
 	// startedAt is when the process started.
@@ -93,6 +95,14 @@
 		}
 	}
 	m.removeDead(heartbeats)
+	m.severed = make(map[id.Instance]bool)
+	for _, existing := range m.members {
+		for _, name := range existing.Severed {
+			if existing.silence < livenessTimeout {
+				m.severed[name] = true
+			}
+		}
+	}
 	m.join(now, heartbeats)
 }
 
--- a/internal/entry/uplink.go
+++ b/internal/entry/uplink.go
@@ -228,12 +228,7 @@
 	if c := s.group.contacts[s.group.coordinator]; c.isAlive(s.now) && s.inOwnGroup(name) {
 		return slices.Contains(c.severed, name)
 	}
-	for _, m := range s.membership.members {
-		if slices.Contains(m.Severed, name) && m.silence < livenessTimeout {
-			return true
-		}
-	}
-	return false
+	return s.membership.severed[name]
 }
 
 func (s *State) inOwnGroup(name id.Instance) bool {
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -208,6 +208,8 @@
 	switch e := effect.(type) {
 	case entry.Dispatch:
 		x.dispatch = e
+		// An interruption may have come after the end of the last attempt.
+		x.takeInterrupted()
 		outcome := x.attempt(e)
 		x.requestLog.logAttempt(x, e, outcome)
 		x.Post(entry.AttemptEnded{Request: x.requestID, Outcome: outcome})
--- a/internal/ingress/instance.go
+++ b/internal/ingress/instance.go
@@ -283,7 +283,7 @@
 		i.wakeTables()
 		return
 	case entry.Probe:
-		i.goroutines.Go(func() { i.probeUpstream(e) })
+		go i.probeUpstream(e)
 		return
 	case entry.UpstreamLeaving:
 		i.logLeaving(e)
