Keep the ports of the soak's proxies apart from those of other tests

Cause: another test process took its port while it was down; the stand-in tries for 2 s and gives up. Shown by a program that takes each port of the range as soon as it is free: the same scenario fails in the same line with the same error. The range had become crowded by the soak's proxies, which take their ports there since they can refuse connections. They have a range of their own now; only the soak uses it.

--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -7,11 +7,15 @@
 	"sync/atomic"
 )
 
-// The ports from firstPort up to but not including endPort lie below the kernel's ephemeral port range, so that no
-// outgoing connection takes a free port before it is bound again.
-const (
-	firstPort = 20000
-	endPort   = 32000
+// portRange are the ports from first up to but not including end. Both ranges lie below the kernel's ephemeral ports, so that
+// no outgoing connection takes a free port before it is bound again.
+type portRange struct{ first, end int64 }
+
+var (
+	// listenRange is that of Listen, and freeRange that of FreeAddress. They are apart, since listeners of one test process
+	// may be closed for a while, and would take ports that another one has closed for a while.
+	listenRange = portRange{10000, 20000}
+	freeRange   = portRange{20000, 32000}
 )
 
 // attemptCount counts the ports tried by the whole process, so that two callers do not get the same port.
@@ -22,7 +26,7 @@
 // The port may stay in use for some milliseconds if the process starts another one meanwhile, which inherits the socket
 // until it executes its program. A caller that listens at once uses Listen instead.
 func FreeAddress() (string, error) {
-	listener, err := Listen()
+	listener, err := freeRange.listen()
 	if err != nil {
 		return "", err
 	}
@@ -30,14 +34,17 @@
 }
 
 // Listen listens on a free port of 127.0.0.1, which no outgoing connection takes once the listener is closed.
+func Listen() (net.Listener, error) { return listenRange.listen() }
+
+// listen listens on a free port of the range.
 //
 // The first port depends on the process id: processes with consecutive ids start 61 ports apart, so that they rarely
 // try the same ports.
-func Listen() (net.Listener, error) {
+func (r portRange) listen() (net.Listener, error) {
 	var lastErr error
-	for range endPort - firstPort {
-		n := (int64(os.Getpid())*61 + attemptCount.Add(1)) % (endPort - firstPort)
-		listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.FormatInt(firstPort+n, 10)))
+	for range r.end - r.first {
+		n := (int64(os.Getpid())*61 + attemptCount.Add(1)) % (r.end - r.first)
+		listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.FormatInt(r.first+n, 10)))
 		if err == nil {
 			return listener, nil
 		}
