Log what a stop cuts off, and responses that find their connection closed

It counted the connections that were left at the end of the grace period, but not whether they were unused, held a part of a request or had a request in flight; and a request that the stop cut off left no line.

The count is split by state now, and each request in flight at the end has a line with its age and that of the stop. Small responses are flushed by the handler, so that one whose connection has been closed meanwhile is logged; net/http drops that error. Refusals name their length, since the flush would otherwise make them chunked. No decision changes.

--- a/internal/ingress/caller_connections.go
+++ b/internal/ingress/caller_connections.go
@@ -38,15 +38,34 @@
 	}
 }
 
-// closeIdle closes the idle connections without unread input and returns the number of connections left.
-func (c *callerConnections) closeIdle() int {
+// connectionCounts counts the callers' connections that are left.
+type connectionCounts struct {
+	// unused have carried no request, partial have unread input and no request in flight, and active have one in flight.
+	unused, partial, idle, active int
+}
+
+func (c connectionCounts) total() int { return c.unused + c.partial + c.idle + c.active }
+
+// closeIdle closes the idle connections without unread input and counts the connections that are left.
+func (c *callerConnections) closeIdle() connectionCounts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var left connectionCounts
 	for conn, state := range c.states {
-		if state == http.StateIdle && tcp.IsQuiescent(conn) {
+		isQuiescent := tcp.IsQuiescent(conn)
+		switch {
+		case state == http.StateIdle && isQuiescent:
 			_ = conn.Close()
 			delete(c.states, conn)
+		case state == http.StateActive:
+			left.active++
+		case !isQuiescent:
+			left.partial++
+		case state == http.StateNew:
+			left.unused++
+		default:
+			left.idle++
 		}
 	}
-	return len(c.states)
+	return left
 }
--- a/internal/ingress/caller_connections_test.go
+++ b/internal/ingress/caller_connections_test.go
@@ -40,7 +40,7 @@
 	_, err := client.Write([]byte("GET"))
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return !tcp.IsQuiescent(unread) }, time.Second, time.Millisecond)
-	require.Equal(t, 2, c.closeIdle())
+	require.Equal(t, 2, c.closeIdle().total())
 	var b [3]byte
 	_, err = unread.Read(b[:])
 	require.NoError(t, err)
@@ -48,5 +48,5 @@
 	_, err = idle.Read(b[:])
 	require.ErrorIs(t, err, net.ErrClosed)
 	c.track(active, http.StateClosed)
-	require.Equal(t, 0, c.closeIdle(), "a connection whose input has been read is quiescent")
+	require.Equal(t, 0, c.closeIdle().total(), "a connection whose input has been read is quiescent")
 }
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -40,7 +40,8 @@
 	// interruption says why the current attempt was broken off; it is guarded by Instance.mu.
 	interruption interruption
 	response     *upstreamResponse
-	dispatch     entry.Dispatch
+	// dispatch is the last attempt; it is written under Instance.mu.
+	dispatch entry.Dispatch
 	// isFar is set if connections to the current attempt's upstream are opened ahead. keepAlive is how long its connection
 	// may stay idle after the attempt; zero means that it was closed.
 	isFar     bool
@@ -212,6 +213,12 @@
 	}
 }
 
+func (x *exchange) setDispatch(d entry.Dispatch) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.dispatch = d
+}
+
 func (x *exchange) isCancelled() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -240,7 +247,7 @@
 func (x *exchange) executeEffect(effect entry.RequestEffect) bool {
 	switch e := effect.(type) {
 	case entry.Dispatch:
-		x.dispatch = e
+		x.setDispatch(e)
 		// An interruption may have come after the end of the last attempt.
 		x.takeInterruption()
 		outcome := x.attemptWithin(e)
@@ -276,7 +283,17 @@
 	x.releaseBody()
 	x.setResponseDeadline(len(response.body))
 	x.w.WriteHeader(response.status)
-	if _, err := x.w.Write(response.body); err != nil {
+	_, err := x.w.Write(response.body)
+	x.finishResponse(err)
+}
+
+// finishResponse sends what net/http has buffered of the response, so that a connection which has been closed meanwhile
+// is noticed. The error is that of writing the response.
+func (x *exchange) finishResponse(err error) {
+	if err == nil {
+		err = http.NewResponseController(x.w).Flush()
+	}
+	if err != nil {
 		x.requestLog.logWriteError(x, err)
 	}
 }
@@ -300,12 +317,13 @@
 		seconds := max(time.Until(r.RetryAt).Seconds(), 0)
 		header["Retry-After"] = []string{strconv.FormatFloat(seconds, 'f', 3, 64)}
 	}
+	body := `{"code":"` + string(r.Code) + `"}`
 	header["Content-Type"] = []string{"application/json"}
+	header["Content-Length"] = []string{strconv.Itoa(len(body))}
 	x.setResponseDeadline(0)
 	x.w.WriteHeader(status)
-	if _, err := io.WriteString(x.w, `{"code":"`+string(r.Code)+`"}`); err != nil {
-		x.requestLog.logWriteError(x, err)
-	}
+	_, err := io.WriteString(x.w, body)
+	x.finishResponse(err)
 }
 
 // refusalStatus returns the HTTP status of a refusal. Callers may take only 429 and 503 as a guarantee that the request
--- a/internal/ingress/instance.go
+++ b/internal/ingress/instance.go
@@ -60,6 +60,8 @@
 	// memory counts the bodies and responses of callers' requests if the feature Held is on.
 	memory     *memory
 	isStopping atomic.Bool
+	// stopRequestedAt is set before isStopping.
+	stopRequestedAt time.Time
 	// heartbeatRequested triggers a heartbeat ahead of schedule.
 	heartbeatRequested chan struct{}
 	listeners          []net.Listener
@@ -212,6 +214,7 @@
 // cached, and then waits for the requests in flight.
 func (i *Instance) stop() {
 	cutoff := time.Now().Add(time.Duration(cutoffGraceFraction * float64(i.config.Bounds.GracePeriod)))
+	i.stopRequestedAt = time.Now()
 	i.isStopping.Store(true)
 	i.Post(entry.StopRequested{})
 	i.requestHeartbeat()
@@ -220,11 +223,22 @@
 	if err := i.listeners[0].Close(); err != nil {
 		i.log.Warn("instance: closing the callers' listener failed", "error", err)
 	}
-	for time.Now().Before(cutoff) && i.callerConnections.closeIdle() > 0 {
+	for time.Now().Before(cutoff) && i.callerConnections.closeIdle().total() > 0 {
 		time.Sleep(closeIdleInterval)
 	}
-	if remaining := i.callerConnections.closeIdle(); remaining > 0 {
-		i.log.Warn("instance: connections closed at the end of the grace period", "count", remaining)
+	if left := i.callerConnections.closeIdle(); left.total() > 0 {
+		i.log.Warn("instance: connections closed at the end of the grace period",
+			"unused", left.unused, "partial", left.partial, "idle", left.idle, "active", left.active)
+	}
+	i.logCutOff()
+}
+
+// logCutOff logs the requests whose connections the stop closes.
+func (i *Instance) logCutOff() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, x := range i.exchanges {
+		i.requestLog.logCutOff(x, i.stopRequestedAt)
 	}
 }
 
--- a/internal/ingress/request_log.go
+++ b/internal/ingress/request_log.go
@@ -201,6 +201,12 @@
 	l.logFailure("request: refused", fields...)
 }
 
+// logCutOff logs a request whose connection a stop closes before the response, with its age and that of the stop.
+func (l *requestLog) logCutOff(x *exchange, stopRequestedAt time.Time) {
+	l.logFailure("request: cut off by the stop", "id", x.callerHeaders.AttemptID, "upstream", x.dispatch.Upstream,
+		"sends", x.dispatch.Diagnostics.Attempts, "total", time.Since(x.startedAt), "afterstop", x.startedAt.Sub(stopRequestedAt))
+}
+
 func (l *requestLog) logWriteError(x *exchange, err error) {
 	l.logFailure("request: writing the response failed", "id", x.callerHeaders.AttemptID, "error", err)
 }
