--- a/internal/ingress/caller_connections_test.go
+++ b/internal/ingress/caller_connections_test.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,3 +52,42 @@
 	c.track(active, http.StateClosed)
 	require.Equal(t, 0, c.closeIdle().total(), "a connection whose input has been read is quiescent")
 }
+
+// Guards against a graceful stop that closes a connection as idle while the server has read a request from it and not yet
+// reported it as active: its handler then runs the request, and the response is lost.
+func TestCloseIdleKeepsConnectionsWhoseRequestHasBeenRead(t *testing.T) {
+	c := newCallerConnections()
+	isRead, mayReport := make(chan struct{}, 1), make(chan struct{})
+	var handled atomic.Int32
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Add(1) }),
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			if state == http.StateActive && handled.Load() == 1 {
+				isRead <- struct{}{}
+				<-mayReport
+			}
+			c.track(conn, state)
+		},
+	}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { server.Close() })
+	client := &http.Client{Transport: &http.Transport{}}
+	t.Cleanup(client.CloseIdleConnections)
+	get := func() error {
+		response, err := client.Post("http://"+l.Addr().String()+"/", "", strings.NewReader("body"))
+		if err == nil {
+			response.Body.Close()
+		}
+		return err
+	}
+	require.NoError(t, get())
+	done := make(chan error, 1)
+	go func() { done <- get() }()
+	<-isRead
+	c.closeIdle()
+	close(mayReport)
+	require.NoError(t, <-done)
+	require.EqualValues(t, 2, handled.Load())
+}
