Close callers' connections in a stop by what has arrived on them

Cause: a stop judged a connection by the states of net/http. One that was opened ahead and has carried no request is never idle: it stayed open up to the end of the grace period, requests on it were sent on, and the end cut them off. And a connection is reported as active only after its request's whole head has been read: in between, the stop closed it as idle, and the handler sent the request on all the same. http.Server.Shutdown, which fleets run by release notes use, has both: its states are the same.

Package drain wraps the listener and closes a connection only while the server waits for bytes of it and none have arrived since the last response; bytes that cross the close are dropped, so that no request runs whose answer can't be sent.

--- /dev/null
+++ b/internal/drain/connections.go
@@ -0,0 +1,152 @@
+package drain
+
+import (
+	"net"
+	"net/http"
+	"sync"
+
+	"bluebellhold/internal/tcp"
+)
+
+// Connections are the callers' connections of an http.Server. The zero value is ready to use, and safe for concurrent use.
+type Connections struct {
+	mu   sync.Mutex
+	open map[*connection]struct{}
+}
+
+// Counts counts the connections that are left after CloseQuiet.
+type Counts struct {
+	// Quiet connections wait for a request; the next CloseQuiet is likely to close them. On Partial ones, a part of a
+	// request has arrived, and Active ones have a request in flight.
+	Quiet, Partial, Active int
+}
+
+// Total returns the number of connections.
+func (c Counts) Total() int { return c.Quiet + c.Partial + c.Active }
+
+// Listen returns a listener that accepts the connections of l. The server must serve it and use Track as its ConnState.
+func (c *Connections) Listen(l net.Listener) net.Listener {
+	return &listener{Listener: l, connections: c}
+}
+
+// Track records the state of a connection; it is a hook for http.Server.ConnState.
+func (c *Connections) Track(conn net.Conn, state http.ConnState) {
+	tracked, ok := conn.(*connection)
+	if !ok {
+		return
+	}
+	if state == http.StateClosed || state == http.StateHijacked {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.open, tracked)
+		return
+	}
+	tracked.setState(state)
+}
+
+// CloseQuiet closes the connections on which nothing of a request has arrived, and counts those that are left.
+func (c *Connections) CloseQuiet() Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var left Counts
+	for conn := range c.open {
+		conn.closeQuiet(&left)
+		if conn.isClosed {
+			delete(c.open, conn)
+		}
+	}
+	return left
+}
+
+func (c *Connections) add(conn *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open == nil {
+		c.open = make(map[*connection]struct{})
+	}
+	c.open[conn] = struct{}{}
+}
+
+type listener struct {
+	net.Listener
+	connections *Connections
+}
+
+// Accept waits for the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tracked := &connection{Conn: conn}
+	l.connections.add(tracked)
+	return tracked, nil
+}
+
+// connection is a caller's connection.
+type connection struct {
+	net.Conn
+
+	mu sync.Mutex
+	// isActive is set while the server reports a request in flight.
+	isActive bool
+	// isReading is set while the server waits for bytes, and hasArrived once some have arrived since the last response.
+	isReading, hasArrived bool
+	isClosed              bool
+}
+
+// NetConn returns the connection below.
+func (c *connection) NetConn() net.Conn { return c.Conn }
+
+// CloseWrite shuts down the writing side, so that the caller can read the end of a response before the connection closes.
+func (c *connection) CloseWrite() error {
+	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return closer.CloseWrite()
+	}
+	return nil
+}
+
+// Read reads bytes of the caller. Bytes that it gets from a connection that has been closed as quiet are dropped: no
+// response to them could be sent.
+func (c *connection) Read(b []byte) (int, error) {
+	c.mu.Lock()
+	c.isReading = true
+	c.mu.Unlock()
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isReading = false
+	if c.isClosed {
+		return 0, net.ErrClosed
+	}
+	c.hasArrived = c.hasArrived || n > 0
+	return n, err
+}
+
+func (c *connection) setState(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isActive = state == http.StateActive
+	if state == http.StateIdle {
+		c.hasArrived = false
+	}
+}
+
+// closeQuiet closes the connection if nothing of a request has arrived, and counts it otherwise.
+//
+// The server must be waiting for bytes: it may hold some that it read together with the last request.
+func (c *connection) closeQuiet(left *Counts) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.isActive:
+		left.Active++
+	case c.hasArrived || tcp.HasUnreadInput(c.Conn):
+		left.Partial++
+	case !c.isReading:
+		left.Quiet++
+	default:
+		c.isClosed = true
+		_ = c.Conn.Close()
+	}
+}
--- a/internal/ingress/instance.go
+++ b/internal/ingress/instance.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"bluebellhold/id"
+	"bluebellhold/internal/drain"
 	"bluebellhold/internal/entry"
 )
 
@@ -67,7 +68,7 @@
 	listeners          []net.Listener
 	servers            []*http.Server
 	callerServer       *http.Server
-	callerConnections  *callerConnections
+	callerConnections  drain.Connections
 	goroutines         sync.WaitGroup
 }
 
@@ -94,7 +95,6 @@
 		exchanges:          make(map[id.Request]*exchange),
 		pool:               newPool(c.Registry),
 		memory:             newMemory(c.MemoryLimit/bodyMemoryDivisor, c.Registry),
-		callerConnections:  newCallerConnections(),
 		heartbeatRequested: make(chan struct{}, 1),
 		tables:             make(map[string]*relayedTable),
 	}
@@ -109,7 +109,7 @@
 func (i *Instance) listen() error {
 	i.callerServer = &http.Server{
 		Handler: http.HandlerFunc(i.serve), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: maxIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnState: i.callerConnections.track,
+		MaxHeaderBytes: maxHeaderBytes, ConnState: i.callerConnections.Track,
 	}
 	control := mux.NewRouter()
 	control.HandleFunc("/metrics", i.serveMetrics)
@@ -119,6 +119,7 @@
 	if err := i.bind(i.config.CallerAddress, i.callerServer); err != nil {
 		return err
 	}
+	i.listeners[0] = i.callerConnections.Listen(i.listeners[0])
 	for _, address := range []string{i.config.ReadinessAddress, i.config.LookupAddress, i.config.MetricsAddress} {
 		server := &http.Server{Handler: control, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: maxIdleTimeout}
 		if err := i.bind(address, server); err != nil {
@@ -219,16 +220,15 @@
 	i.Post(entry.StopRequested{})
 	i.requestHeartbeat()
 	time.Sleep(time.Duration(acceptGraceFraction * float64(i.config.Bounds.GracePeriod)))
-	// http.Server.Shutdown would close connections on which an unread request has arrived; see callerConnections.
 	if err := i.listeners[0].Close(); err != nil {
 		i.log.Warn("instance: closing the callers' listener failed", "error", err)
 	}
-	for time.Now().Before(cutoff) && i.callerConnections.closeIdle().total() > 0 {
-		time.Sleep(closeIdleInterval)
+	for time.Now().Before(cutoff) && i.callerConnections.CloseQuiet().Total() > 0 {
+		time.Sleep(closeQuietInterval)
 	}
-	if left := i.callerConnections.closeIdle(); left.total() > 0 {
+	if left := i.callerConnections.CloseQuiet(); left.Total() > 0 {
 		i.log.Warn("instance: connections closed at the end of the grace period",
-			"unused", left.unused, "partial", left.partial, "idle", left.idle, "active", left.active)
+			"quiet", left.Quiet, "partial", left.Partial, "active", left.Active)
 	}
 	i.logCutOff()
 }
@@ -242,8 +242,8 @@
 	}
 }
 
-// closeIdleInterval is how often a stopping instance closes connections that have become idle.
-const closeIdleInterval = 20 * time.Millisecond
+// closeQuietInterval is how often a stopping instance closes connections on which nothing has arrived.
+const closeQuietInterval = 20 * time.Millisecond
 
 // close immediately closes the servers, the listeners and the idle connections to upstreams.
 func (i *Instance) close() {
--- a/internal/tcp/option.go
+++ b/internal/tcp/option.go
@@ -49,24 +49,40 @@
 	if b, ok := conn.(interface{ Buffered() int }); ok && b.Buffered() > 0 {
 		return false
 	}
-	raw, err := conn.SyscallConn()
+	return !hasUnreadInput(conn)
+}
+
+// HasUnreadInput reports whether the socket below a connection holds bytes, EOF or an error to be read. It is false if there
+// is no socket.
+func HasUnreadInput(conn net.Conn) bool {
+	socket, ok := unwrap(conn).(syscall.Conn)
+	return ok && hasUnreadInput(socket)
+}
+
+func hasUnreadInput(socket syscall.Conn) bool {
+	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return true
 	}
 	isReadable := true
 	err = raw.Control(func(fd uintptr) { isReadable = IsReadable(fd) })
-	return err == nil && !isReadable
+	return err != nil || isReadable
 }
 
-// Abort closes a connection with a reset, so that what was sent on it does not look complete.
-func Abort(conn net.Conn) {
+// unwrap returns the innermost connection.
+func unwrap(conn net.Conn) net.Conn {
 	for {
 		wrapper, ok := conn.(interface{ NetConn() net.Conn })
 		if !ok {
-			break
+			return conn
 		}
 		conn = wrapper.NetConn()
 	}
+}
+
+// Abort closes a connection with a reset, so that what was sent on it does not look complete.
+func Abort(conn net.Conn) {
+	conn = unwrap(conn)
 	if lingerer, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = lingerer.SetLinger(0)
 	}
--- a/server.go
+++ b/server.go
@@ -7,16 +7,22 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"bluebellhold/id"
+	"bluebellhold/internal/drain"
 )
 
 // server is an HTTP server with its listener.
 type server struct {
-	listener   net.Listener
-	httpServer *http.Server
+	listener    net.Listener
+	httpServer  *http.Server
+	connections drain.Connections
 }
 
+// closeQuietInterval is how often a server that is shut down closes the connections on which nothing has arrived.
+const closeQuietInterval = 20 * time.Millisecond
+
 func newServer(address string, handler http.Handler, tlsConfig *tls.Config, maxHeader id.Bytes) (*server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -31,12 +37,14 @@
 	if tlsConfig != nil {
 		s.listener = tls.NewListener(listener, tlsConfig)
 	}
+	s.httpServer.ConnState = s.connections.Track
 	return s, nil
 }
 
 func (s *server) start(goroutines *sync.WaitGroup) {
 	goroutines.Go(func() {
-		if err := s.httpServer.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		err := s.httpServer.Serve(s.connections.Listen(s.listener))
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			panic("bluebellhold: the HTTP server failed: " + err.Error())
 		}
 	})
@@ -48,10 +56,14 @@
 	if s == nil {
 		return
 	}
-	if s.httpServer.Shutdown(ctx) != nil {
-		_ = s.httpServer.Close()
-	}
 	_ = s.listener.Close()
+	for ctx.Err() == nil && s.connections.CloseQuiet().Total() > 0 {
+		select {
+		case <-time.After(closeQuietInterval):
+		case <-ctx.Done():
+		}
+	}
+	_ = s.httpServer.Close()
 }
 
 func (s *server) address() string { return s.listener.Addr().String() }
