Let a repeated SIGTERM change nothing

Only SIGINT during the stop does so now. An instance that follows a store listens for SIGTERM before callers can connect.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -94,21 +94,32 @@
 	stdlog.SetOutput(io.Discard)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go shutdownOnSignal(cancel, instance, config.Log)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go handleSignals(signals, instance.Shutdown, func() {
+		config.Log.Warn("instance: interrupted again, exiting immediately")
+		cancel()
+	})
 	if err := instance.Run(ctx); err != nil {
 		return &RunError{Cause: err}
 	}
 	return nil
 }
 
-func shutdownOnSignal(cancel context.CancelFunc, instance *bluebellhold.Instance, logger *log.Logger) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	<-signals
-	instance.Shutdown()
-	<-signals
-	logger.Warn("instance: second signal, exiting immediately")
-	cancel()
+// handleSignals calls shutdown on the first signal, and abort when an interactive user interrupts the process after it. Further
+// SIGTERMs change nothing: whoever sends them, such as a process manager beside an operator, wants the same stop.
+func handleSignals(signals <-chan os.Signal, shutdown, abort func()) {
+	isStopping := false
+	for s := range signals {
+		switch {
+		case !isStopping:
+			isStopping = true
+			shutdown()
+		case s == syscall.SIGINT:
+			abort()
+			return
+		}
+	}
 }
 
 func instanceConfig(s settings.Settings, w io.Writer) (bluebellhold.Config, error) {
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -53,12 +53,13 @@
 	}
 	debug.SetMemoryLimit(int64(config.MemoryLimit) * memoryLimitPercent / 100)
 	debug.SetGCPercent(gcPercent)
+	// Callers can connect once the instance has been created. Further signals change nothing.
+	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
 	instance, err := ingress.New(config)
 	if err != nil {
 		return &RunError{Cause: err}
 	}
-	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
 	go reloadOnSignal(ctx, reloads, path, config.Log)
 	if err := instance.Run(ctx); err != nil {
 		return &RunError{Cause: err}
