Send a request on in a stop only if its response comes in time

Cause: the reducer knew that the instance stops, but not when. StopRequested brings the deadlines of the stop now. Its upstream is told to give up before the attempt is broken off, so that its answer arrives. Bodies that have not arrived whole near the end are refused too. What is in flight at the end gets 504 instead of a closed connection. Responses to requests that arrived before SIGTERM say Connection: close as well. A stop also waits for the connections of other instances to upstreams that lead through this one.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -23,7 +23,7 @@
 	if svc.queue.Len() == 0 {
 		return
 	}
-	var dispatched []*request
+	var removed []*request
 	for i, queued := range svc.queue.Sort(s.now) {
 		if i >= maxQueueScan {
 			break
@@ -35,15 +35,18 @@
 		r.setExpectedUpstream("")
 		choice, ok := svc.chooser.Choose(s.now, r.placementRequest)
 		switch {
+		case ok && s.outlivesStop(r, choice.EstimatedLatency):
+			s.refuseForStop(r)
+			removed = append(removed, r)
 		case ok && choice.HasCapacity:
 			s.dispatch(r, choice)
-			dispatched = append(dispatched, r)
+			removed = append(removed, r)
 		case ok:
 			svc.cutOff.recordFull(s.now)
 			r.setExpectedUpstream(choice.Upstream)
 		}
 	}
-	for _, r := range dispatched {
+	for _, r := range removed {
 		svc.queue.Remove(r.id)
 	}
 }
@@ -73,10 +76,11 @@
 	helper := s.chooseHelper(u, r)
 	r.via, r.sentAt, r.isWrittenOff, r.isAbandoned = helper.Instance, s.now, false, false
 	s.watchForSlowness(r)
+	upstreamDeadline, deadline := s.attemptDeadlines(r)
 	s.emit(Dispatch{
 		Request: r.id, Organisation: r.organisation, Service: r.service.id, Upstream: u.ID, Incarnation: u.Incarnation,
 		Address: u.Address, Region: u.Region, ColdUntil: u.ColdUntil,
-		Priority: r.priority, Deadline: r.deadline, Via: helper,
+		Priority: r.priority, Deadline: deadline, UpstreamDeadline: upstreamDeadline, Via: helper,
 		EstimatedLatency: choice.EstimatedLatency, Diagnostics: s.diagnostics(r),
 	})
 }
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -17,7 +17,7 @@
 	RequestID() id.Request
 }
 
-// Dispatch sends a request to an upstream; the attempt is cancelled at Deadline.
+// Dispatch sends a request to an upstream, which is told to give up at UpstreamDeadline; the attempt is cancelled at Deadline.
 type Dispatch struct {
 	Request      id.Request
 	Organisation id.Organisation
@@ -30,6 +30,8 @@
 	ColdUntil time.Time
 	Priority  admission.Priority
 	Deadline  time.Time
+	// UpstreamDeadline is not after Deadline.
+	UpstreamDeadline time.Time
 	// Via is the instance through which the upstream is reached; empty means directly.
 	Via uplink.Helper
 	// EstimatedLatency is the estimated time from sending the request to receiving the whole response.
@@ -64,6 +66,11 @@
 	Request id.Request
 }
 
+// EndAttempt breaks off a request's attempt in flight at the end of a stop; its outcome is then TimedOut.
+type EndAttempt struct {
+	Request id.Request
+}
+
 // Probe connects to an upstream directly; ProbeEnded follows.
 type Probe struct {
 	Upstream    id.Upstream
@@ -107,6 +114,7 @@
 
 func (Interrupt) isEffect()          {}
 func (Abandon) isEffect()            {}
+func (EndAttempt) isEffect()         {}
 func (Probe) isEffect()              {}
 func (UplinkChanged) isEffect()      {}
 func (UpstreamLeaving) isEffect()    {}
@@ -136,6 +144,9 @@
 // RequestID returns the request.
 func (e Cancel) RequestID() id.Request { return e.Request }
 
+// RequestID returns the request.
+func (e EndAttempt) RequestID() id.Request { return e.Request }
+
 // Code is the reason for a refusal, a stable word for callers.
 type Code string
 
@@ -163,6 +174,8 @@
 	CodeSuspect Code = "suspect"
 	// CodeInvalidBody means that the body was too large or incomplete.
 	CodeInvalidBody Code = "body"
+	// CodeStopping means that the instance stops and has too little time left for the request.
+	CodeStopping Code = "stopping"
 	// CodeHeaderTooLarge means that the header was too large.
 	CodeHeaderTooLarge Code = "header"
 )
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -153,7 +153,12 @@
 type Tick struct{}
 
 // StopRequested reports the signal to stop.
-type StopRequested struct{}
+type StopRequested struct {
+	// AnswerBy is when the responses to all requests should have been received from the upstreams, and EndAt, which is later,
+	// when the attempts that are still in flight are broken off. Zero means that the stop
+	// waits for all requests.
+	AnswerBy, EndAt time.Time
+}
 
 func (ConfigurationChanged) isEvent() {}
 func (UpstreamsChanged) isEvent()     {}
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -236,7 +236,7 @@
 	var dialled []Contact
 	live := 0
 	for _, name := range s.group.ranked {
-		if name == s.config.Instance && s.isStopping {
+		if name == s.config.Instance && s.stopping.isRequested {
 			continue
 		}
 		if name == s.config.Instance || live == liveContacts || len(dialled) == maxContacts {
--- a/internal/entry/lease.go
+++ b/internal/entry/lease.go
@@ -46,7 +46,7 @@
 	l.offeredLoad, l.pinnedLoad = s.knownLoad(r)
 	l.routeLoad = s.knownRouteLoad(r)
 	l.echoedAt, l.lendsUntil = s.timeOf(r.Echo), time.Time{}
-	if r.Lends && !l.echoedAt.IsZero() && !s.isStopping {
+	if r.Lends && !l.echoedAt.IsZero() && !s.stopping.isRequested {
 		l.lendsUntil = l.echoedAt.Add(lendDuration)
 	}
 	for _, suspect := range r.Suspects {
@@ -58,7 +58,7 @@
 	s.updateFraction()
 	l.queued = s.boundQueuedWork(r.Queued)
 	beat := CoordinatorBeat{
-		Stamp: s.stamp(), Echo: r.Stamp, Leaving: s.isStopping, StartTime: s.config.StartTime, LocalShares: s.LocalShares(),
+		Stamp: s.stamp(), Echo: r.Stamp, Leaving: s.stopping.isRequested, StartTime: s.config.StartTime, LocalShares: s.LocalShares(),
 		Suspects: l.suspects.changes(s.crashDetector.suspects.Reports(s.now)),
 		Limits:   l.limits.Changes(s.now, s.knownLimits(s.now)),
 		Leavers:  s.Leaving(s.now),
@@ -179,7 +179,7 @@
 // NeedsHeartbeat reports whether this instance writes its own heartbeat: unless its coordinator's heartbeat vouches for
 // it.
 func (s *State) NeedsHeartbeat() bool {
-	if s.isStopping || s.IsCoordinator() || s.group.coordinator == "" || s.membership.firstVersion == 0 {
+	if s.stopping.isRequested || s.IsCoordinator() || s.group.coordinator == "" || s.membership.firstVersion == 0 {
 		return true
 	}
 	coordinator := s.membership.members[s.group.coordinator]
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -226,7 +226,7 @@
 			connected = append(connected, address)
 		}
 	}
-	if !s.isStopping {
+	if !s.stopping.isRequested {
 		add(s.config.Instance, s.config.Region, s.config.Address)
 	}
 	for _, name := range s.membership.instances() {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -75,6 +75,10 @@
 func (s *State) handleRequestArrived(e RequestArrived) {
 	s.counts.Arrived++
 	r := &request{id: e.Request, digest: e.Digest}
+	if s.stopping.hasEnded {
+		s.refuseForStop(r)
+		return
+	}
 	if !s.isConfigured || !s.hasUpstreams || !s.membership.isJoined {
 		s.refuse(r, Refusal{Code: CodeStarting, RetryAt: s.now.Add(startingRetryDelay)})
 		return
@@ -186,6 +190,10 @@
 func (s *State) admit(r *request) {
 	svc := r.service
 	choice, ok := svc.chooser.Choose(s.now, r.placementRequest)
+	if ok && s.outlivesStop(r, choice.EstimatedLatency) {
+		s.refuseForStop(r)
+		return
+	}
 	if ok && s.Features().Order {
 		s.admitInOrder(r, choice)
 		return
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -67,7 +67,7 @@
 	nextSlownessCheckAt time.Time
 	// pendingCrashes are upstreams that could not be reached, which this instance may be at fault for.
 	pendingCrashes []pendingCrash
-	isStopping     bool
+	stopping       stopping
 	group          group
 	// tokenWaiters are the organisations with requests that wait for a token, or with unanswered requests for tokens.
 	tokenWaiters map[id.Organisation]bool
@@ -158,7 +158,7 @@
 	case Suspended:
 		s.suspend()
 	case StopRequested:
-		s.stop()
+		s.handleStopRequested(e)
 	}
 	return s.effects
 }
@@ -188,23 +188,9 @@
 	}
 }
 
-// stop ends the coordination of the group: the parts that the members lent are given out no more, and the beats that
-// say so let the members lend them to another coordinator at once. This instance becomes a member of that one.
-func (s *State) stop() {
-	s.isStopping = true
-	for _, name := range slices.Sorted(maps.Keys(s.group.lenders)) {
-		l := s.group.lenders[name]
-		l.lendsUntil = time.Time{}
-		s.emit(Send{To: name, Message: CoordinatorBeat{Stamp: s.stamp(), Echo: l.stamp, Leaving: true, StartTime: s.config.StartTime}})
-	}
-	s.updateFraction()
-	s.group.nextReportAt = s.now
-	s.sendReports()
-}
-
 // IsReady reports whether the instance can serve callers.
 func (s *State) IsReady() bool {
-	return s.isConfigured && s.hasUpstreams && s.membership.isJoined && s.group.coordinator != "" && !s.isStopping
+	return s.isConfigured && s.hasUpstreams && s.membership.isJoined && s.group.coordinator != "" && !s.stopping.isRequested
 }
 
 // HasJoined reports whether all serving instances divide the fleet-wide bounds with this one.
@@ -337,6 +323,7 @@
 		}
 	}
 	s.dispatchAllQueued()
+	s.endStop()
 }
 
 // NextTick returns when the next Tick is due.
@@ -353,6 +340,9 @@
 	if !s.nextSlownessCheckAt.IsZero() {
 		next = earlier(next, s.nextSlownessCheckAt)
 	}
+	if !s.stopping.endAt.IsZero() && !s.stopping.hasEnded {
+		next = earlier(next, s.stopping.endAt)
+	}
 	next = later(next, now)
 	if len(s.tokenWaiters) > 0 {
 		return earlier(next, now.Add(tokenPollInterval))
--- a/internal/entry/uplink.go
+++ b/internal/entry/uplink.go
@@ -208,7 +208,7 @@
 }
 
 // LendsLinks reports whether this instance connects others to upstreams.
-func (s *State) LendsLinks() bool { return !s.uplink.IsSevered() && !s.isStopping }
+func (s *State) LendsLinks() bool { return !s.uplink.IsSevered() && !s.stopping.isRequested }
 
 // TunnelAddress returns the address of an upstream's process for another instance, and false if it gets no requests as far
 // as this instance knows.
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -136,6 +136,8 @@
 		return entry.Broken{}
 	case interruptedSlow:
 		return entry.Abandoned{Elapsed: time.Since(startedAt)}
+	case interruptedStopped:
+		return entry.TimedOut{Elapsed: time.Since(startedAt)}
 	}
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -150,7 +152,7 @@
 	header := x.r.Header.Clone()
 	removeHopByHopHeaders(header)
 	x.config.HeaderCodec.SetUpstreamHeaders(header, UpstreamHeaders{
-		Upstream: d.Upstream, Organisation: d.Organisation, Timeout: time.Until(d.Deadline),
+		Upstream: d.Upstream, Organisation: d.Organisation, Timeout: time.Until(d.UpstreamDeadline),
 	})
 	if x.r.ContentLength != 0 {
 		header["Content-Length"] = []string{strconv.Itoa(len(x.body))}
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -61,13 +61,13 @@
 		callerHeaders: i.config.HeaderCodec.ParseCallerHeaders(r.Header), startedAt: time.Now(),
 		effects: make(chan entry.RequestEffect, effectBufferSize),
 	}
-	if i.isStopping.Load() || len(r.TransferEncoding) > 0 {
+	if len(r.TransferEncoding) > 0 {
 		// A chunked body may be accompanied by a Content-Length. The bytes after such a request could be smuggled, so
 		// the connection is not reused.
 		w.Header().Set("Connection", "close")
 	}
 	defer x.releaseMemory()
-	if !x.checkHeaderSize() || !x.readBody() {
+	if !x.checkHeaderSize() || !x.readBodyInTime() {
 		return
 	}
 	x.register()
@@ -104,12 +104,40 @@
 // headerLineOverhead counts the colon, the space and the CRLF of a header line in bytes.
 const headerLineOverhead = 4
 
-// readBody buffers the whole body, so that a slow caller never occupies a slot of an upstream. It refuses the request
-// and returns false if the body is invalid or exceeds a limit.
-func (x *exchange) readBody() bool {
+// readBodyInTime reads the body unless the instance stops before all of it has arrived; the request is then refused.
+func (x *exchange) readBodyInTime() bool {
 	if x.r.ContentLength == 0 {
 		return true
 	}
+	endReading := context.AfterFunc(x.bodiesEnded, func() {
+		if err := http.NewResponseController(x.w).SetReadDeadline(time.Unix(1, 0)); err != nil {
+			x.log.Debug("callers: setting the read deadline failed", "error", err)
+		}
+	})
+	isRead := x.readBody()
+	if isEnded := !endReading(); isEnded && isRead {
+		// net/http watches the connection for its end while the request is served.
+		if err := http.NewResponseController(x.w).SetReadDeadline(time.Time{}); err != nil {
+			x.log.Debug("callers: clearing the read deadline failed", "error", err)
+		}
+	}
+	return isRead
+}
+
+// refuseBody refuses a request whose body could not be read.
+func (x *exchange) refuseBody() {
+	// What has not been read of the body stays on the connection.
+	x.w.Header().Set("Connection", "close")
+	if x.bodiesEnded.Err() != nil {
+		x.refuse(entry.Refusal{Code: entry.CodeStopping, RetryAt: time.Now()})
+		return
+	}
+	x.refuse(entry.Refusal{Code: entry.CodeInvalidBody, MayHaveRun: true})
+}
+
+// readBody buffers the whole body, so that a slow caller never occupies a slot of an upstream. It refuses the request
+// and returns false if the body is invalid or exceeds a limit.
+func (x *exchange) readBody() bool {
 	x.mu.Lock()
 	limit := int64(x.state.CallerLimits().MaxBodyBytes)
 	x.mu.Unlock()
@@ -134,8 +162,7 @@
 	}
 	n, err := body.ReadFrom(io.LimitReader(x.r.Body, limit+1))
 	if err != nil {
-		x.w.Header().Set("Connection", "close")
-		x.refuse(entry.Refusal{Code: entry.CodeInvalidBody, MayHaveRun: true})
+		x.refuseBody()
 		return false
 	}
 	if n > limit {
@@ -184,6 +211,8 @@
 	interruptedUnreached
 	// interruptedSlow means that the request is sent to another upstream instead.
 	interruptedSlow
+	// interruptedStopped means that the instance stops.
+	interruptedStopped
 )
 
 // interrupt breaks off the current attempt. The caller holds Instance.mu.
@@ -282,6 +311,7 @@
 	x.body = nil
 	x.releaseBody()
 	x.setResponseDeadline(len(response.body))
+	x.closeIfStopping()
 	x.w.WriteHeader(response.status)
 	_, err := x.w.Write(response.body)
 	x.finishResponse(err)
@@ -298,6 +328,14 @@
 	}
 }
 
+// closeIfStopping makes the response the last one on its connection if the instance stops, also if the request arrived
+// before.
+func (x *exchange) closeIfStopping() {
+	if x.isStopping.Load() {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
 // setResponseDeadline bounds the time to write the response, so that a caller that does not read it cannot occupy the
 // exchange indefinitely.
 func (x *exchange) setResponseDeadline(size int) {
@@ -321,6 +359,7 @@
 	header["Content-Type"] = []string{"application/json"}
 	header["Content-Length"] = []string{strconv.Itoa(len(body))}
 	x.setResponseDeadline(0)
+	x.closeIfStopping()
 	x.w.WriteHeader(status)
 	_, err := io.WriteString(x.w, body)
 	x.finishResponse(err)
--- a/internal/ingress/hold.go
+++ b/internal/ingress/hold.go
@@ -13,8 +13,11 @@
 
 // readHeldBody is readBody with the feature Held: it takes memory for a body before reading it.
 func (x *exchange) readHeldBody(limit int64) bool {
-	if err := http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(bodyReadTimeout)); err != nil {
-		x.log.Debug("callers: setting the read deadline failed", "error", err)
+	// A stop has set an earlier deadline.
+	if x.bodiesEnded.Err() == nil {
+		if err := http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(bodyReadTimeout)); err != nil {
+			x.log.Debug("callers: setting the read deadline failed", "error", err)
+		}
 	}
 	var body bytes.Buffer
 	err := x.fillBody(&body, limit)
@@ -25,8 +28,7 @@
 		x.w.Header().Set("Connection", "close")
 		x.refuse(entry.Refusal{Code: entry.CodeOverloaded, RetryAt: time.Now().Add(memoryRetryDelay)})
 	case err != nil:
-		x.w.Header().Set("Connection", "close")
-		x.refuse(entry.Refusal{Code: entry.CodeInvalidBody, MayHaveRun: true})
+		x.refuseBody()
 	case limit > 0 && int64(body.Len()) > limit:
 		x.refuse(entry.Refusal{Code: entry.CodeInvalidBody})
 	default:
--- a/internal/ingress/instance.go
+++ b/internal/ingress/instance.go
@@ -63,6 +63,9 @@
 	isStopping atomic.Bool
 	// stopRequestedAt is set before isStopping.
 	stopRequestedAt time.Time
+	// bodiesEnded ends, by endBodies, when a stop gives up the bodies that have not arrived whole.
+	bodiesEnded context.Context
+	endBodies   context.CancelFunc
 	// heartbeatRequested triggers a heartbeat ahead of schedule.
 	heartbeatRequested chan struct{}
 	listeners          []net.Listener
@@ -101,6 +104,7 @@
 	for _, name := range []string{c.Tables.Operator, c.Tables.Upstreams, c.Tables.Members} {
 		i.tables[name] = newRelayedTable(c.Feed, name)
 	}
+	i.bodiesEnded, i.endBodies = context.WithCancel(context.Background())
 	i.timer = time.AfterFunc(time.Hour, i.tick)
 	return i, i.listen()
 }
@@ -207,28 +211,45 @@
 	// acceptGraceFraction is the fraction of the grace period during which a stopping instance still accepts
 	// connections, since callers cache the result of a look-up for some seconds.
 	acceptGraceFraction = 0.45
-	// cutoffGraceFraction is the fraction of the grace period after which requests still in flight are cut off.
+	// cutoffGraceFraction is the fraction of the grace period after which requests still in flight are cut off, and
+	// endGraceFraction that after which the connections are closed. The responses to what was cut off are sent in between.
 	cutoffGraceFraction = 0.95
+	endGraceFraction    = 0.98
+	// maxAnswerMargin is the time before the cut-off at which upstreams should have answered: a round trip between regions.
+	// maxBodyMargin is the time before the cut-off at which bodies that have not arrived whole are given up; net/http waits
+	// for the caller of such a request before it closes the connection. Both are at most marginGraceFraction of the grace
+	// period.
+	maxAnswerMargin     = 200 * time.Millisecond
+	maxBodyMargin       = 600 * time.Millisecond
+	marginGraceFraction = 0.1
 )
 
 // stop removes the instance from look-ups and readiness, keeps accepting connections while callers may have its address
-// cached, and then waits for the requests in flight.
+// cached, and then waits for the requests in flight and for those of other instances that use its connections to upstreams.
 func (i *Instance) stop() {
-	cutoff := time.Now().Add(time.Duration(cutoffGraceFraction * float64(i.config.Bounds.GracePeriod)))
+	grace := i.config.Bounds.GracePeriod
+	after := func(fraction float64) time.Time {
+		return i.stopRequestedAt.Add(time.Duration(fraction * float64(grace)))
+	}
+	margin := time.Duration(marginGraceFraction * float64(grace))
 	i.stopRequestedAt = time.Now()
+	cutoff, end := after(cutoffGraceFraction), after(endGraceFraction)
 	i.isStopping.Store(true)
-	i.Post(entry.StopRequested{})
+	i.Post(entry.StopRequested{AnswerBy: cutoff.Add(-min(maxAnswerMargin, margin)), EndAt: cutoff})
 	i.requestHeartbeat()
-	time.Sleep(time.Duration(acceptGraceFraction * float64(i.config.Bounds.GracePeriod)))
+	endBodies := time.AfterFunc(time.Until(cutoff.Add(-min(maxBodyMargin, margin))), i.endBodies)
+	defer endBodies.Stop()
+	time.Sleep(time.Until(after(acceptGraceFraction)))
 	if err := i.listeners[0].Close(); err != nil {
 		i.log.Warn("instance: closing the callers' listener failed", "error", err)
 	}
-	for time.Now().Before(cutoff) && i.callerConnections.CloseQuiet().Total() > 0 {
+	for time.Now().Before(end) && (i.callerConnections.CloseQuiet().Total() > 0 || i.servedTunnels.Load() > 0) {
 		time.Sleep(closeQuietInterval)
 	}
-	if left := i.callerConnections.CloseQuiet(); left.Total() > 0 {
+	left, tunnels := i.callerConnections.CloseQuiet(), i.servedTunnels.Load()
+	if left.Total() > 0 || tunnels > 0 {
 		i.log.Warn("instance: connections closed at the end of the grace period",
-			"quiet", left.Quiet, "partial", left.Partial, "active", left.Active)
+			"quiet", left.Quiet, "partial", left.Partial, "active", left.Active, "tunnels", tunnels)
 	}
 	i.logCutOff()
 }
@@ -254,6 +275,7 @@
 		_ = listener.Close()
 	}
 	i.timer.Stop()
+	i.endBodies()
 	i.pool.close()
 }
 
@@ -342,6 +364,9 @@
 	case entry.Abandon:
 		x.interrupt(interruptedSlow)
 		return
+	case entry.EndAttempt:
+		x.interrupt(interruptedStopped)
+		return
 	}
 	x.effects <- e
 }
