Count the time to send a head from its first byte

Callers that opened a connection ahead and sent a proper request on it some ten seconds later, in two parts, got 400 Bad Request, which they never retry.

Package drain keeps both times now: idle until the first byte of a request, then the time for the head.

TestHeadsOnConnectionsOpenedAheadHaveTheWholeTime failed before ("unexpected EOF"), and so did TestConnectionsAreClosedAfterTheirTimeouts (an unused connection closed after 400 ms of 2 s).

--- a/internal/drain/connections.go
+++ b/internal/drain/connections.go
@@ -4,16 +4,33 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"bluebellhold/internal/tcp"
 )
 
-// Connections are the callers' connections of an http.Server. The zero value is ready to use, and safe for concurrent use.
+// Config configures Connections.
+type Config struct {
+	// HeadTimeout is how long a caller may take to send the head of a request, from its first byte on. The ReadHeaderTimeout of
+	// http.Server, which must not be set, counts from the start of a connection that was opened ahead.
+	HeadTimeout time.Duration
+	// IdleTimeout is how long a connection may wait for a request. That of the server should be the same.
+	IdleTimeout time.Duration
+}
+
+// Connections are the callers' connections of an http.Server; they are safe for concurrent use.
 type Connections struct {
+	config Config
+
 	mu   sync.Mutex
 	open map[*connection]struct{}
 }
 
+// New returns the connections of a server.
+func New(c Config) *Connections {
+	return &Connections{config: c, open: make(map[*connection]struct{})}
+}
+
 // Counts counts the connections that are left after CloseQuiet.
 type Counts struct {
 	// Quiet connections wait for a request; the next CloseQuiet is likely to close them. On Partial ones, a part of a
@@ -61,9 +78,6 @@
 func (c *Connections) add(conn *connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.open == nil {
-		c.open = make(map[*connection]struct{})
-	}
 	c.open[conn] = struct{}{}
 }
 
@@ -78,7 +92,10 @@
 	if err != nil {
 		return nil, err
 	}
-	tracked := &connection{Conn: conn}
+	tracked := &connection{Conn: conn, headTimeout: l.connections.config.HeadTimeout}
+	if err := conn.SetReadDeadline(time.Now().Add(l.connections.config.IdleTimeout)); err != nil {
+		_ = conn.Close()
+	}
 	l.connections.add(tracked)
 	return tracked, nil
 }
@@ -86,6 +103,7 @@
 // connection is a caller's connection.
 type connection struct {
 	net.Conn
+	headTimeout time.Duration
 
 	mu sync.Mutex
 	// isActive is set while the server reports a request in flight.
@@ -119,15 +137,34 @@
 	if c.isClosed {
 		return 0, net.ErrClosed
 	}
+	if n > 0 && !c.hasArrived && !c.isActive {
+		if err := c.Conn.SetReadDeadline(time.Now().Add(c.headTimeout)); err != nil {
+			return n, err
+		}
+	}
 	c.hasArrived = c.hasArrived || n > 0
 	return n, err
 }
 
+// SetReadDeadline sets the deadline of reads, but does not remove the one for the next request and its head.
+func (c *connection) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.IsZero() && !c.isActive {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 func (c *connection) setState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isActive = state == http.StateActive
-	if state == http.StateIdle {
+	switch state {
+	case http.StateActive:
+		// An error would also end the next read.
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	case http.StateIdle:
 		c.hasArrived = false
 	}
 }
--- a/internal/drain/connections_test.go
+++ b/internal/drain/connections_test.go
@@ -22,14 +22,19 @@
 // server is an HTTP server whose connections are tracked.
 type server struct {
 	*testing.T
-	drain.Connections
+	*drain.Connections
 	address string
 	handled atomic.Int32
 }
 
+const (
+	headTimeout = 400 * time.Millisecond
+	idleTimeout = 2 * time.Second
+)
+
 // newServer starts a server. The hook, if there is one, runs before a connection's state is reported.
 func newServer(t *testing.T, hook func(http.ConnState)) *server {
-	s := &server{T: t}
+	s := &server{T: t, Connections: drain.New(drain.Config{HeadTimeout: headTimeout, IdleTimeout: idleTimeout})}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s.serve(l, hook)
@@ -39,10 +44,12 @@
 func (s *server) serve(l net.Listener, hook func(http.ConnState)) {
 	s.address = l.Addr().String()
 	server := &http.Server{
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			s.handled.Add(1)
+			_, _ = io.Copy(io.Discard, r.Body)
 			_, _ = io.WriteString(w, "answer")
 		}),
+		IdleTimeout: idleTimeout,
 		ConnState: func(conn net.Conn, state http.ConnState) {
 			if hook != nil {
 				hook(state)
@@ -214,7 +221,7 @@
 
 // Guards against a stop that keeps TLS connections open because the handshake counts as a part of a request.
 func TestTLSConnectionsWithoutARequestAreClosed(t *testing.T) {
-	s := &server{T: t}
+	s := &server{T: t, Connections: drain.New(drain.Config{HeadTimeout: headTimeout, IdleTimeout: idleTimeout})}
 	certificates := httptest.NewUnstartedServer(nil)
 	certificates.StartTLS()
 	defer certificates.Close()
@@ -238,3 +245,45 @@
 		require.True(t, errors.Is(err, io.EOF) || strings.Contains(err.Error(), "reset"), err)
 	}
 }
+
+// Guards against a proper request that is answered 400 because its connection was opened long before it: the time to send a
+// head counts from its first byte.
+func TestHeadsOnConnectionsOpenedAheadHaveTheWholeTime(t *testing.T) {
+	s := newServer(t, nil)
+	c := s.dial()
+	time.Sleep(headTimeout - headTimeout/4)
+	_, err := io.WriteString(c, request[:9])
+	require.NoError(t, err)
+	time.Sleep(headTimeout / 2)
+	_, err = io.WriteString(c, request[9:])
+	require.NoError(t, err)
+	require.NoError(t, c.answer())
+	// The next request has its own time, and the body is not bound by it.
+	time.Sleep(headTimeout - headTimeout/4)
+	head := len(request) - len("body")
+	_, err = io.WriteString(c, request[:head])
+	require.NoError(t, err)
+	time.Sleep(2 * headTimeout)
+	_, err = io.WriteString(c, request[head:])
+	require.NoError(t, err)
+	require.NoError(t, c.answer())
+}
+
+// Guards against connections that stay open for ever: with a head that does not end, or without a request.
+func TestConnectionsAreClosedAfterTheirTimeouts(t *testing.T) {
+	s := newServer(t, nil)
+	for _, part := range []string{request[:9], ""} {
+		start := time.Now()
+		c := s.dial()
+		_, err := io.WriteString(c, part)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, c)
+		require.NoError(t, err)
+		limit := idleTimeout
+		if part != "" {
+			limit = headTimeout
+		}
+		require.GreaterOrEqual(t, time.Since(start), limit)
+	}
+	require.Zero(t, s.handled.Load())
+}
--- a/internal/ingress/instance.go
+++ b/internal/ingress/instance.go
@@ -71,7 +71,7 @@
 	listeners          []net.Listener
 	servers            []*http.Server
 	callerServer       *http.Server
-	callerConnections  drain.Connections
+	callerConnections  *drain.Connections
 	goroutines         sync.WaitGroup
 }
 
@@ -98,6 +98,7 @@
 		exchanges:          make(map[id.Request]*exchange),
 		pool:               newPool(c.Registry),
 		memory:             newMemory(c.MemoryLimit/bodyMemoryDivisor, c.Registry),
+		callerConnections:  drain.New(drain.Config{HeadTimeout: readHeaderTimeout, IdleTimeout: maxIdleTimeout}),
 		heartbeatRequested: make(chan struct{}, 1),
 		tables:             make(map[string]*relayedTable),
 	}
@@ -112,7 +113,7 @@
 // listen binds all addresses.
 func (i *Instance) listen() error {
 	i.callerServer = &http.Server{
-		Handler: http.HandlerFunc(i.serve), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: maxIdleTimeout,
+		Handler: http.HandlerFunc(i.serve), IdleTimeout: maxIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ConnState: i.callerConnections.Track,
 	}
 	control := mux.NewRouter()
--- a/server.go
+++ b/server.go
@@ -17,7 +17,7 @@
 type server struct {
 	listener    net.Listener
 	httpServer  *http.Server
-	connections drain.Connections
+	connections *drain.Connections
 }
 
 // closeQuietInterval is how often a server that is shut down closes the connections on which nothing has arrived.
@@ -29,11 +29,10 @@
 		return nil, &ListenError{Address: address, Cause: err}
 	}
 	s := &server{listener: listener, httpServer: &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    int(maxHeader),
-	}}
+		Handler:        handler,
+		IdleTimeout:    idleTimeout,
+		MaxHeaderBytes: int(maxHeader),
+	}, connections: drain.New(drain.Config{HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout})}
 	if tlsConfig != nil {
 		s.listener = tls.NewListener(listener, tlsConfig)
 	}
