Wait in a stop for the requests that other instances send through this one

An instance that reaches no upstream sends its requests through tunnels of another one.

Package peer counts and bounds the tunnels that it serves; a stop waits for them, in both ways of running. The count and the bound of package ingress go, and fleets run by release notes, which had no bound, get the same one. In such a fleet the wait has no test of its own.

--- a/instance.go
+++ b/instance.go
@@ -171,12 +171,18 @@
 // OperatorAddress returns the address that the instance listens on for the operators' API.
 func (i *Instance) OperatorAddress() string { return i.operatorServer.address() }
 
-// closeCallerConnections stops accepting callers' connections, waits for the requests in flight and then posts
-// CallerConnectionsClosed.
+// closeCallerConnections stops accepting callers' connections, waits for the requests in flight and for those of other
+// instances that use connections to upstreams through this one, and then posts CallerConnectionsClosed.
 func (i *Instance) closeCallerConnections() {
 	ctx, cancel := context.WithTimeout(i.ctx, callerCloseTimeout)
 	defer cancel()
 	i.callerServer.shutdown(ctx)
+	for ctx.Err() == nil && i.transport.ServedTunnels() > 0 {
+		select {
+		case <-time.After(closeQuietInterval):
+		case <-ctx.Done():
+		}
+	}
 	i.Post(steering.CallerConnectionsClosed{})
 }
 
--- a/internal/ingress/instance.go
+++ b/internal/ingress/instance.go
@@ -55,7 +55,6 @@
 	clockOffset time.Duration
 
 	pool          *pool
-	servedTunnels atomic.Int64
 	lastRequestID atomic.Uint64
 	bodyBytes     atomic.Int64
 	// memory counts the bodies and responses of callers' requests if the feature Held is on.
@@ -244,10 +243,10 @@
 	if err := i.listeners[0].Close(); err != nil {
 		i.log.Warn("instance: closing the callers' listener failed", "error", err)
 	}
-	for time.Now().Before(end) && (i.callerConnections.CloseQuiet().Total() > 0 || i.servedTunnels.Load() > 0) {
+	for time.Now().Before(end) && (i.callerConnections.CloseQuiet().Total() > 0 || i.sessions.servedTunnels() > 0) {
 		time.Sleep(closeQuietInterval)
 	}
-	left, tunnels := i.callerConnections.CloseQuiet(), i.servedTunnels.Load()
+	left, tunnels := i.callerConnections.CloseQuiet(), i.sessions.servedTunnels()
 	if left.Total() > 0 || tunnels > 0 {
 		i.log.Warn("instance: connections closed at the end of the grace period",
 			"quiet", left.Quiet, "partial", left.Partial, "active", left.Active, "tunnels", tunnels)
--- a/internal/ingress/sessions.go
+++ b/internal/ingress/sessions.go
@@ -69,6 +69,16 @@
 	})
 }
 
+// servedTunnels returns the number of connections of other instances to upstreams that lead through this one.
+func (s *sessions) servedTunnels() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.transport == nil {
+		return 0
+	}
+	return s.transport.ServedTunnels()
+}
+
 func (s *sessions) open(t *peer.Transport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/ingress/uplink.go
+++ b/internal/ingress/uplink.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"sync"
 	"time"
 
 	"bluebellhold/id"
@@ -12,10 +11,6 @@
 	"bluebellhold/internal/peer"
 )
 
-// maxServedTunnels bounds the connections of other instances that lead to upstreams through this one, each of which takes
-// two descriptors and two buffers.
-const maxServedTunnels = 256
-
 // probeUpstream connects to an upstream and keeps the connection for later requests.
 func (i *Instance) probeUpstream(p entry.Probe) {
 	conn, err := dialUpstream(context.Background(), p.Address)
@@ -38,7 +33,7 @@
 }
 
 // connectTunnel connects to an upstream for another instance that does not reach it.
-func (i *Instance) connectTunnel(ctx context.Context, from id.Instance, target peer.TunnelTarget) (net.Conn, error) {
+func (i *Instance) connectTunnel(ctx context.Context, _ id.Instance, target peer.TunnelTarget) (net.Conn, error) {
 	i.mu.Lock()
 	lendsLinks := i.state.LendsLinks()
 	address, isUsable := i.state.TunnelAddress(target.Upstream, target.Incarnation)
@@ -46,34 +41,12 @@
 	if !lendsLinks || !isUsable {
 		return nil, &peer.TunnelRefusedError{Peer: i.config.Instance, IsUnreached: lendsLinks}
 	}
-	if i.servedTunnels.Add(1) > maxServedTunnels {
-		i.servedTunnels.Add(-1)
-		i.log.Warn("uplink: too many tunnels", "from", from, "limit", maxServedTunnels)
-		return nil, &peer.TunnelRefusedError{Peer: i.config.Instance}
-	}
 	conn, err := dialUpstream(ctx, address)
 	i.Post(entry.ProbeEnded{Upstream: target.Upstream, IsReached: err == nil})
 	if err != nil {
-		i.servedTunnels.Add(-1)
 		return nil, err
 	}
-	return &servedTunnel{Conn: conn, release: func() { i.servedTunnels.Add(-1) }}, nil
-}
-
-// servedTunnel is a connection to an upstream that is lent to another instance.
-type servedTunnel struct {
-	net.Conn
-	closeOnce sync.Once
-	release   func()
-}
-
-// NetConn returns the connection to the upstream.
-func (t *servedTunnel) NetConn() net.Conn { return t.Conn }
-
-// Close closes the connection and releases its place among the tunnels.
-func (t *servedTunnel) Close() error {
-	t.closeOnce.Do(t.release)
-	return t.Conn.Close()
+	return conn, nil
 }
 
 // isUnreached reports whether another instance has tried to connect to the upstream and failed.
--- a/internal/ingress/uplink_test.go
+++ b/internal/ingress/uplink_test.go
@@ -186,12 +186,15 @@
 type severedFleet struct {
 	*harness
 	links []*link
+	// stopOther stops the other instance, and otherStopped is closed once it has stopped.
+	stopOther    context.CancelFunc
+	otherStopped chan struct{}
 	// runs counts the runs of each attempt at the upstreams.
 	mu   sync.Mutex
 	runs map[string]int
 }
 
-func newSeveredFleet(t *testing.T) *severedFleet {
+func newSeveredFleet(t *testing.T, work time.Duration) *severedFleet {
 	f := &severedFleet{runs: make(map[string]int)}
 	f.harness = &harness{T: t, feed: &memoryFeed{}, address: freeAddress(t), log: &lockedBuffer{}}
 	f.client = &http.Client{Transport: &http.Transport{}, Timeout: 10 * time.Second}
@@ -202,14 +205,14 @@
 			f.mu.Lock()
 			f.runs[r.Header.Get("X-Bluebellhold-Attempt-Id")]++
 			f.mu.Unlock()
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(work)
 			return responseTo(r, "ok")
 		}))
 		l := newLink(t, target)
 		f.links = append(f.links, l)
 		feed.addresses[target] = l.address
 	}
-	f.startIn("koper", "koper-1", f.feed, freeAddress(t), io.Discard, time.Second)
+	f.stopOther, f.otherStopped = f.startIn("koper", "koper-1", f.feed, freeAddress(t), io.Discard, time.Second)
 	f.startIn("osrednja", "osrednja-1", feed, f.address, f.log, time.Second)
 	return f
 }
@@ -254,7 +257,7 @@
 	for _, mode := range []linkMode{linkSilent, linkRefused, linkKept} {
 		t.Run(string(mode), func(t *testing.T) {
 			t.Parallel()
-			f := newSeveredFleet(t)
+			f := newSeveredFleet(t, 20*time.Millisecond)
 			sent, served := f.load("GET", "/look/", "before", 2*time.Second)
 			require.Equal(t, sent, served)
 			f.setMode(mode)
@@ -281,3 +284,32 @@
 	sent, served := f.load(method, path, label, 2*time.Second)
 	require.GreaterOrEqual(f, 10*served, 9*sent, "%s %s%s: %d of %d served", method, path, label, served, sent)
 }
+
+// Guards against a stop that cuts off the requests which another instance sends to upstreams through the one that stops.
+func TestStopAnswersRequestsOfOtherInstances(t *testing.T) {
+	f := newSeveredFleet(t, 700*time.Millisecond)
+	f.setMode(linkRefused)
+	f.load("GET", "/look/", "early", contactTime)
+	var requests sync.WaitGroup
+	stopAt := time.Now().Add(time.Second)
+	for n := range 60 {
+		requests.Go(func() {
+			time.Sleep(time.Until(stopAt.Add(time.Duration(n-40) * 25 * time.Millisecond)))
+			r := f.request("POST", fmt.Sprint("/draw/", n), "")
+			r.Close = true
+			response, err := f.client.Do(r)
+			require.NoError(t, err)
+			defer response.Body.Close()
+			f.mu.Lock()
+			runs := f.runs[r.Header.Get("X-Bluebellhold-Attempt-Id")]
+			f.mu.Unlock()
+			if runs > 0 {
+				require.Equal(t, http.StatusOK, response.StatusCode, "request %d was run by an upstream", n)
+			}
+		})
+	}
+	time.Sleep(time.Until(stopAt))
+	f.stopOther()
+	requests.Wait()
+	<-f.otherStopped
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -23,6 +24,8 @@
 	cancel         context.CancelFunc
 	goroutines     sync.WaitGroup
 	handshakeSlots chan struct{}
+	// servedTunnels counts the tunnels that lead to upstreams through this instance, those being opened among them.
+	servedTunnels atomic.Int64
 
 	mu             sync.Mutex
 	peers          map[id.Instance]*peerState
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -22,6 +22,9 @@
 	tunnelTimeout = 1500 * time.Millisecond
 	// maxChunkSize is the largest chunk of an upstream's bytes, and the size of the copy buffers of a tunnel.
 	maxChunkSize = 16 << 10
+	// maxServedTunnels bounds the tunnels that lead to upstreams through this instance, each of which takes two descriptors and
+	// two buffers.
+	maxServedTunnels = 256
 )
 
 // TunnelTarget names the process of an upstream that a tunnel leads to.
@@ -166,11 +169,25 @@
 	target TunnelTarget
 }
 
+// ServedTunnels returns the number of tunnels that lead to upstreams through this instance.
+func (t *Transport) ServedTunnels() int { return int(t.servedTunnels.Load()) }
+
+// connectUpstream connects a tunnel to its upstream unless there are too many.
+func (t *Transport) connectUpstream(a *acceptedTunnel) (net.Conn, error) {
+	if t.servedTunnels.Load() > maxServedTunnels {
+		t.log.Warn("too many tunnels", "peer", a.peer, "limit", maxServedTunnels)
+		return nil, &TunnelRefusedError{Peer: t.config.Self}
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, tunnelTimeout)
+	defer cancel()
+	return t.config.OnTunnel(ctx, a.peer, a.target)
+}
+
 // serveTunnel connects a peer to an upstream and copies bytes until one of the sides closes.
 func (t *Transport) serveTunnel(a *acceptedTunnel) {
-	ctx, cancel := context.WithTimeout(t.ctx, tunnelTimeout)
-	upstream, err := t.config.OnTunnel(ctx, a.peer, a.target)
-	cancel()
+	t.servedTunnels.Add(1)
+	defer t.servedTunnels.Add(-1)
+	upstream, err := t.connectUpstream(a)
 	status := wire.TunnelReply_OPEN
 	var refused *TunnelRefusedError
 	switch {
