Match answers to the request in flight before believing them

A late copy of a refusal on a kept connection told callers "not run" for requests that ran (REFUSED), and such requests ran at a second upstream (TWICE).

Cause: an answer without an attempt's id counted as the answer to the request in flight on any connection, so the copy of a refusal without an id was believed as Shed or Misdirected. A copy that names its attempt was skipped before, so ids that differ are ruled out; so are two sends of one attempt to one upstream, which the reducer excludes (TestRefusedRequestDoesNotReturnToAnUpstream).

An answer without an id is now believed on the first request of a connection only. On a kept one it costs the connection; a repeatable request goes elsewhere, another one waits for the matching answer until its deadline. The upstream's process then gets each request on a connection of its own, where its refusals keep their worth, until a refusal names its attempt. Requests without an id get connections of their own, a connection on which another upstream answered 421 is closed, and on a new connection that is readable before the first write nothing is sent.

Tests before the change: TestLateCopyOfAnAnswerIsNotBelieved failed for 8 of 11 kinds of answers ("expected: 200, actual: 503", for unsigned successes and failures 502), TestRepeatableRequestGoesElsewhereAfterALateRefusal ("expected: 200, actual: 503"), TestRequestWithoutAnIDGetsAConnectionOfItsOwn ("Should be zero, but was 4").

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -77,6 +77,7 @@
 		Request: r.id, Organisation: r.organisation, Service: r.service.id, Upstream: u.ID, Incarnation: u.Incarnation,
 		Address: u.Address, Region: u.Region, ColdUntil: u.ColdUntil,
 		Priority: r.priority, Deadline: r.deadline, Via: helper,
+		UsesNewConnection: s.isAnonymous(u), AwaitsMatch: !r.route.Idempotent,
 		EstimatedLatency: choice.EstimatedLatency, Diagnostics: s.diagnostics(r),
 	})
 }
@@ -117,10 +118,13 @@
 		s.recordAnswered(r)
 		s.crashDetector.suspects.RecordCompletion(s.now, r.digest)
 		s.deliver(r)
-	case Shed, Misdirected:
-		s.recordAnswered(r)
-		s.counts.Rejected++
-		s.retryOrRefuse(r, Refusal{Code: CodeOverloaded})
+	case Shed:
+		s.recordAnonymous(r, outcome.IsAnonymous)
+		s.handleRejected(r)
+	case Misdirected:
+		s.handleRejected(r)
+	case Unmatched:
+		s.handleUnmatched(r)
 	case NothingSent:
 		if !outcome.IsStaleConnection {
 			s.recordNotReached(r)
@@ -193,6 +197,13 @@
 	s.emit(Deliver{Request: r.id})
 }
 
+// handleRejected retries or refuses a request that the upstream has turned away.
+func (s *State) handleRejected(r *request) {
+	s.recordAnswered(r)
+	s.counts.Rejected++
+	s.retryOrRefuse(r, Refusal{Code: CodeOverloaded})
+}
+
 func (s *State) handleBroken(r *request) {
 	if !r.route.Idempotent || r.possibleRuns >= max(r.route.MaxAttempts, 1) {
 		s.refuse(r, Refusal{Code: CodeUpstreamFailed})
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -32,6 +32,11 @@
 	Deadline  time.Time
 	// Via is the instance through which the upstream is reached; empty means directly.
 	Via uplink.Helper
+	// UsesNewConnection is set if the request must not go on a connection that has carried another one.
+	UsesNewConnection bool
+	// AwaitsMatch is set if the attempt goes on after an unmatched answer that names no attempt, since the request may run
+	// and must not be sent again.
+	AwaitsMatch bool
 	// EstimatedLatency is the estimated time from sending the request to receiving the whole response.
 	EstimatedLatency time.Duration
 	Diagnostics      Diagnostics
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -143,6 +143,11 @@
 	Elapsed time.Duration
 }
 
+// AnonymousResponse reports that an unmatched answer that names no attempt has come while the request was in flight.
+type AnonymousResponse struct {
+	Request id.Request
+}
+
 // ProbeEnded reports whether an upstream has accepted a connection.
 type ProbeEnded struct {
 	Upstream  id.Upstream
@@ -168,6 +173,7 @@
 func (CallerDisconnected) isEvent()   {}
 func (AttemptEnded) isEvent()         {}
 func (Connected) isEvent()            {}
+func (AnonymousResponse) isEvent()    {}
 func (ProbeEnded) isEvent()           {}
 func (Tick) isEvent()                 {}
 func (StopRequested) isEvent()        {}
@@ -198,11 +204,17 @@
 	// IsLeaving and Rest are those of Answered.
 	IsLeaving bool
 	Rest      time.Duration
+	// IsAnonymous is set if the response names no attempt.
+	IsAnonymous bool
 }
 
 // Misdirected means that another upstream responded at the address, without running the request.
 type Misdirected struct{}
 
+// Unmatched means that a response came which may belong to an earlier request on the connection. The upstream may run the
+// request.
+type Unmatched struct{}
+
 // NothingSent means that the attempt failed before any byte of the request was sent.
 //
 // IsStaleConnection is set if only a reused connection failed, which says nothing about the upstream.
@@ -233,6 +245,7 @@
 func (Answered) isAttemptOutcome()     {}
 func (Shed) isAttemptOutcome()         {}
 func (Misdirected) isAttemptOutcome()  {}
+func (Unmatched) isAttemptOutcome()    {}
 func (NothingSent) isAttemptOutcome()  {}
 func (HelperFailed) isAttemptOutcome() {}
 func (Broken) isAttemptOutcome()       {}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -47,6 +47,8 @@
 	upstreams          map[id.Upstream]Upstream
 	// leaving are the upstreams that have said in a response that they leave.
 	leaving map[id.Upstream]leavingUpstream
+	// anonymous are the upstreams' processes whose latest refusal or unmatched answer named no attempt.
+	anonymous map[id.Upstream]id.Incarnation
 	// regions are those of the upstreams.
 	regions    map[id.Region]bool
 	evacuated  map[id.DataCentre]bool
@@ -93,10 +95,11 @@
 // Counts are totals since the start of the process.
 //
 // Arrived counts requests, Started attempts and Second retries. Rejected counts attempts that were shed or misdirected,
-// and Refused requests that this instance refused. Abandoned counts slow attempts that were broken off. The field names appear in the log line "instance: summary", so
+// and Refused requests that this instance refused. Abandoned counts slow attempts that were broken off, and Unmatched those that ended
+// with an answer which may belong to another request. The field names appear in the log line "instance: summary", so
 // renaming one changes that line.
 type Counts struct {
-	Arrived, Started, Second, Answered, Rejected, Refused, Broken, TimedOut, Abandoned uint64
+	Arrived, Started, Second, Answered, Rejected, Refused, Broken, TimedOut, Abandoned, Unmatched uint64
 }
 
 // New returns the state of an instance that has just started and has read nothing.
@@ -106,6 +109,7 @@
 		random:        rand.New(rand.NewPCG(c.Seed, c.Seed>>1+1)),
 		upstreams:     make(map[id.Upstream]Upstream),
 		leaving:       make(map[id.Upstream]leavingUpstream),
+		anonymous:     make(map[id.Upstream]id.Incarnation),
 		membership:    newMembership(c.Instance, c.StartTime),
 		services:      make(map[id.Service]*service),
 		organisations: make(map[id.Organisation]*organisation),
@@ -135,6 +139,8 @@
 		s.handleCallerDisconnected(e)
 	case Connected:
 		s.handleConnected(e)
+	case AnonymousResponse:
+		s.handleAnonymousResponse(e)
 	case ProbeEnded:
 		s.recordReach(e.Upstream, e.IsReached)
 	case Tick:
@@ -306,6 +312,7 @@
 			s.crashDetector.recordCrash(s.now, processID(u))
 		}
 	}
+	s.forgetAnonymous()
 	s.assignUpstreams()
 	s.dispatchAllQueued()
 }
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -73,11 +73,16 @@
 			c.close()
 		}
 	}()
+	if c.requests == 0 && !c.isQuiescent() {
+		// What the upstream has sent belongs to no request; it may also have closed the connection.
+		return entry.NothingSent{IsStaleConnection: c.isReused}, c.isReused
+	}
 	if err := c.conn.SetDeadline(d.Deadline); err != nil {
 		return entry.NothingSent{IsStaleConnection: true}, c.isReused
 	}
 	// Set after the deadline, since SetDeadline would undo an interruption.
 	x.setAbort(c.interrupt)
+	c.requests++
 	n, err := c.conn.Write(x.encodeRequest(d))
 	if err != nil {
 		if n == 0 && !x.isCancelled() {
@@ -86,6 +91,7 @@
 		return x.classifyError(startedAt, err), false
 	}
 	outcome, isReusable = x.readOutcome(c, startedAt)
+	isReusable = isReusable && !x.needsNewConnection(d)
 	if isReusable {
 		x.keepAlive, c.isReused = c.idleTimeout, true
 		x.pool.put(d, c)
@@ -95,6 +101,9 @@
 
 // acquire returns an idle or a new connection to the upstream.
 func (x *exchange) acquire(d entry.Dispatch) (*upstreamConnection, error) {
+	if x.needsNewConnection(d) {
+		return x.connect(d)
+	}
 	if x.isFar {
 		return x.acquireFar(d)
 	}
@@ -104,6 +113,12 @@
 	return x.connect(d)
 }
 
+// needsNewConnection reports whether the request must not share a connection: the upstream's refusals don't name the
+// attempt, or the request has no id by which any response could be matched.
+func (x *exchange) needsNewConnection(d entry.Dispatch) bool {
+	return d.UsesNewConnection || x.callerHeaders.AttemptID == ""
+}
+
 // connect connects to the upstream, through another instance if the dispatch says so.
 func (x *exchange) connect(d entry.Dispatch) (*upstreamConnection, error) {
 	startedAt := time.Now()
@@ -137,9 +152,12 @@
 	case interruptedSlow:
 		return entry.Abandoned{Elapsed: time.Since(startedAt)}
 	}
+	var unmatched *UnmatchedResponseError
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return entry.TimedOut{Elapsed: time.Since(startedAt)}
+	case errors.As(err, &unmatched):
+		return entry.Unmatched{}
 	}
 	x.attemptErr = err
 	return entry.Broken{}
@@ -179,17 +197,18 @@
 		return x.classifyError(startedAt, err), false
 	}
 	status, header := parsed.response.StatusCode, parsed.response.Header
-	isReusable := !parsed.response.Close && c.reader.Buffered() == 0
+	isReusable := !parsed.response.Close && !c.isOutOfStep && c.reader.Buffered() == 0
 	if isReusable {
 		c.setExpiry(header.Get("Keep-Alive"))
 	}
 	switch {
 	case parsed.headers.IsMisdirected:
-		return entry.Misdirected{}, isReusable
+		// The connection leads to another upstream.
+		return entry.Misdirected{}, false
 	case parsed.headers.IsNotExecuted && status >= http.StatusBadRequest:
 		return entry.Shed{
 			Load: parsed.headers.Load, Limit: parsed.headers.Limit, IsLeaving: parsed.headers.IsLeaving,
-			Rest: parsed.headers.Rest,
+			Rest: parsed.headers.Rest, IsAnonymous: parsed.headers.AttemptID == "",
 		}, isReusable
 	case !parsed.headers.IsSigned || parsed.headers.AttemptID != x.callerHeaders.AttemptID ||
 		header.Get("Content-Encoding") != "":
@@ -200,8 +219,11 @@
 	return x.newAnswered(parsed, startedAt), isReusable
 }
 
-// readMatchingResponse skips responses that name another request. An upstream may send a late second response to an
-// earlier request on a connection that has been reused since; the matching response follows it.
+// readMatchingResponse returns the response to the request in flight. An upstream may send a late second response to an
+// earlier request on a connection that has been reused since; nothing that it says is believed.
+//
+// The matching response follows one that names another request. One that names none may also be the only one that comes:
+// the attempt then ends with an UnmatchedResponseError, or goes on if the dispatch says so.
 func (x *exchange) readMatchingResponse(c *upstreamConnection) (parsedResponse, error) {
 	for range maxResponses {
 		c.head.startHead()
@@ -224,17 +246,36 @@
 		for _, name := range headers.Malformed {
 			x.requestLog.logOddHeader(x, "upstreams: malformed header", name, response.Header.Get(name))
 		}
-		if headers.AttemptID == "" || headers.AttemptID == x.callerHeaders.AttemptID {
-			return parsedResponse{response, headers, body}, nil
+		parsed := parsedResponse{response, headers, body}
+		if x.isMatch(c, headers) {
+			return parsed, nil
 		}
-		x.requestLog.logSkippedResponse(x, headers.AttemptID)
-		if response.Close {
-			break
+		c.isOutOfStep = true
+		x.requestLog.logUnmatchedResponse(x, parsed)
+		x.pool.metrics.unmatched.Inc(1)
+		if headers.AttemptID != "" {
+			if response.Close {
+				break
+			}
+			continue
+		}
+		x.Post(entry.AnonymousResponse{Request: x.requestID})
+		if response.Close || !x.dispatch.AwaitsMatch {
+			return parsedResponse{}, &UnmatchedResponseError{}
 		}
 	}
 	return parsedResponse{}, &UnexpectedResponseError{}
 }
 
+// isMatch reports whether a response belongs to the request in flight: it names it, or it names none and can only belong to
+// the first request of the connection.
+func (x *exchange) isMatch(c *upstreamConnection, headers ResponseHeaders) bool {
+	if headers.AttemptID == "" {
+		return c.requests == 1
+	}
+	return headers.AttemptID == x.callerHeaders.AttemptID
+}
+
 func (x *exchange) newAnswered(parsed parsedResponse, startedAt time.Time) entry.AttemptOutcome {
 	status := parsed.response.StatusCode
 	return entry.Answered{
@@ -313,6 +354,14 @@
 	return "ingress: unexpected response with status " + strconv.Itoa(e.Status)
 }
 
+// UnmatchedResponseError reports a response that names no request, on a connection that has carried others.
+type UnmatchedResponseError struct{}
+
+// Error describes the response.
+func (e *UnmatchedResponseError) Error() string {
+	return "ingress: response names no request on a connection that has carried others"
+}
+
 // InterruptedError reports an attempt that was broken off because the instance reaches no upstream.
 type InterruptedError struct{}
 
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -50,6 +50,8 @@
 	opened, reused metrics.Counter
 	// ahead counts the connections that were opened ahead, and unused those of them that were closed unused.
 	ahead, unused metrics.Counter
+	// unmatched counts the responses that did not belong to the request in flight.
+	unmatched metrics.Counter
 }
 
 func newPoolMetrics(r metrics.Registry) poolMetrics {
@@ -58,6 +60,8 @@
 		reused: metrics.NewRegisteredCounter("upstreams.connections.reused", r),
 		ahead:  metrics.NewRegisteredCounter("upstreams.connections.ahead", r),
 		unused: metrics.NewRegisteredCounter("upstreams.connections.unused", r),
+
+		unmatched: metrics.NewRegisteredCounter("upstreams.unmatched", r),
 	}
 }
 
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -62,6 +62,10 @@
 	reader   *bufio.Reader
 	head     *headReader
 	isReused bool
+	// requests counts the requests that the connection has carried. isOutOfStep is set once it has brought a response that
+	// did not belong to the request in flight.
+	requests    int
+	isOutOfStep bool
 	// isUnused is set on a connection of the pool that was opened ahead and has carried no request.
 	isUnused bool
 	// connectTime is how long opening it took; zero means that it is not known.
--- a/internal/ingress/request_log.go
+++ b/internal/ingress/request_log.go
@@ -124,6 +124,8 @@
 		l.logFailure("request: shed by the upstream", append(fields, "load", formatLoad(outcome.Load), "limit", formatLimit(outcome.Limit), "rest", outcome.Rest)...)
 	case entry.Misdirected:
 		l.logFailure("request: misdirected; another upstream has the address", fields...)
+	case entry.Unmatched:
+		l.logFailure("request: outcome unknown, the response may belong to another request", fields...)
 	case entry.NothingSent:
 		l.logFailure("request: upstream not reached",
 			append(fields, "listage", d.Diagnostics.UpstreamListAge, "error", x.attemptErr)...)
@@ -173,9 +175,17 @@
 	}
 }
 
-func (l *requestLog) logSkippedResponse(x *exchange, attemptID string) {
-	l.logFailure("request: late response to another request skipped",
-		"id", x.callerHeaders.AttemptID, "upstream", x.dispatch.Upstream, "other", attemptID)
+// logUnmatchedResponse logs a response to another request, or one that names none on a connection that has carried others.
+func (l *requestLog) logUnmatchedResponse(x *exchange, r parsedResponse) {
+	fields := []any{
+		"id", x.callerHeaders.AttemptID, "upstream", x.dispatch.Upstream, "status", r.response.StatusCode,
+		"refusal", r.headers.IsNotExecuted,
+	}
+	if other := r.headers.AttemptID; other != "" {
+		l.logFailure("request: late response to another request skipped", append(fields, "other", other)...)
+		return
+	}
+	l.logFailure("request: response names no request on a connection that has carried others", fields...)
 }
 
 func (l *requestLog) logMemoryShort(x *exchange, d entry.Dispatch) {
