Send requests that may not be repeated on connections of their own

A claimed request now goes on a new connection that is closed afterwards. Repeatable requests still share connections; a refusal on a kept one leads to another upstream, and the final refusal says "unknown" (Shed.MayHaveRun, retry.Unmatched); its Retry-After still counts. A late success after the next repeatable request was written remains possible (docs/design.md).

As claimed requests no longer share connections, TestClaimedRequestIsSentOnce gets the same failures on a new connection in addition.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -54,7 +54,7 @@
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(headerOutcome) == string(steering.NotRun) {
 		_, _ = io.CopyN(io.Discard, response.Body, int64(MaxBufferedBody))
-		a.end(steering.Shed{Rest: retry.ParseAfter(response.Header.Get("Retry-After"))})
+		a.end(steering.Shed{Rest: retry.ParseAfter(response.Header.Get("Retry-After")), MayHaveRun: a.guard.reused.Load()})
 		return false
 	}
 	return a.forwardResponse(response)
@@ -65,7 +65,7 @@
 func (a *attempt) roundTrip() (*http.Response, error) {
 	for {
 		a.startBodyStream()
-		response, err := a.checkResponse(a.gateway.transportVia(a.dispatch.Via).RoundTrip(a.upstreamRequest()))
+		response, err := a.checkResponse(a.gateway.transportFor(a.dispatch).RoundTrip(a.upstreamRequest()))
 		var deadlineErr *DispatchDeadlineError
 		if err == nil || a.guard.sent.Load() || a.bodyReadStarted() || !a.guard.reused.Swap(false) ||
 			errors.As(err, &deadlineErr) || a.ctx.Err() != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,8 +77,7 @@
 	maxBody            id.Bytes
 	maxClaimedBody     id.Bytes
 	router             *mux.Router
-	transport          *http.Transport
-	tunnels            tunnelTransports
+	transports         transports
 	lastRequestID      atomic.Uint64
 	keepAlivesDisabled atomic.Bool
 	latency            latencies
@@ -109,8 +108,7 @@
 		registry:       c.Registry,
 		maxBody:        c.MaxBody,
 		maxClaimedBody: min(c.MaxClaimedBody, c.MaxBody),
-		transport:      newTransport(dialDirect),
-		tunnels:        tunnelTransports{open: c.OpenTunnel, byInstance: make(map[id.Instance]*http.Transport)},
+		transports:     transports{openTunnel: c.OpenTunnel, byKind: make(map[transportKind]*http.Transport)},
 		latency:        latencies{registry: c.Registry},
 
 		stallTimeout: c.StallTimeout,
@@ -140,8 +138,7 @@
 
 // Close closes the idle connections to upstreams.
 func (g *Gateway) Close() {
-	g.transport.CloseIdleConnections()
-	g.tunnels.closeIdle()
+	g.transports.closeIdle()
 }
 
 func (g *Gateway) recoverPanic(w http.ResponseWriter) {
--- a/internal/gateway/response_test.go
+++ b/internal/gateway/response_test.go
@@ -165,6 +165,7 @@
 				t.Run(name+"/"+method+"/"+body, func(t *testing.T) {
 					for range 4 {
 						requireSentOnce(t, fail, method, body)
+						requireSentOnceOnNewConnection(t, fail, method, body)
 					}
 				})
 			}
@@ -207,6 +208,26 @@
 	}
 }
 
+// requireSentOnceOnNewConnection lets the first connection fail during its first request. A claimed request gets a
+// connection of its own.
+func requireSentOnceOnNewConnection(t *testing.T, fail func(*net.TCPConn, *bufio.Reader) int, method, body string) {
+	var sent atomic.Int64
+	e := &engine{claimed: true, upstream: serveTCP(t, func(c *net.TCPConn, r *bufio.Reader) { sent.Add(int64(fail(c, r))) })}
+	c := sendRaw(t, e.start(t, gateway.Config{}), fmt.Sprintf(
+		"%s /service/pregled/draws HTTP/1.1\r\nHost: a\r\nIdempotency-Key: k\r\nContent-Length: %d\r\n\r\n%s", method, len(body), body,
+	))
+	_, _, complete := c.readResponse(t, method)
+	require.True(t, complete)
+	switch outcome := e.nextOutcome(t).(type) {
+	case steering.Broken:
+		require.LessOrEqual(t, sent.Load(), int64(1))
+	case steering.NothingSent:
+		require.Zero(t, sent.Load())
+	default:
+		require.Failf(t, "unexpected", "%T", outcome)
+	}
+}
+
 func boolToInt(b bool) int {
 	if b {
 		return 1
--- a/internal/steering/attempt.go
+++ b/internal/steering/attempt.go
@@ -58,7 +58,11 @@
 	case Cancelled:
 		s.refuse(r, Refusal{Code: CodeDeadline, Outcome: OutcomeUnknown})
 	case Shed:
-		s.retryOrRefuse(r, e.BodyConsumed, retry.Shed{}, Refusal{Code: CodeCapacity, RetryAt: retryAt})
+		var failure retry.Failure = retry.Shed{}
+		if outcome.MayHaveRun {
+			failure = retry.Unmatched{}
+		}
+		s.retryOrRefuse(r, e.BodyConsumed, failure, Refusal{Code: CodeCapacity, RetryAt: retryAt})
 	case NothingSent:
 		s.retryOrRefuse(r, e.BodyConsumed, retry.NothingSent{}, Refusal{Code: CodeUpstreamFailed, RetryAt: retryAt})
 	case Broken:
--- a/internal/steering/event.go
+++ b/internal/steering/event.go
@@ -192,8 +192,12 @@
 
 // Shed means that the upstream reported that it did not run the request. It wants no further request of this instance for
 // the time Rest.
+//
+// MayHaveRun is set if the response came on a connection that has carried other requests: it may be a late copy of one to
+// these, so that the upstream may run the request nevertheless.
 type Shed struct {
-	Rest time.Duration
+	Rest       time.Duration
+	MayHaveRun bool
 }
 
 // NothingSent means that the attempt failed before the first byte of the request was sent.
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -11,6 +11,9 @@
 // Shed means that the upstream reported that it did not run the request.
 type Shed struct{}
 
+// Unmatched means that a response came which may belong to another request; the request may have run.
+type Unmatched struct{}
+
 // Broken means that the connection broke after a byte was sent; the request may have run.
 type Broken struct{}
 
@@ -19,6 +22,7 @@
 
 func (NothingSent) failure() {}
 func (Shed) failure()        {}
+func (Unmatched) failure()   {}
 func (Broken) failure()      {}
 func (TimedOut) failure()    {}
 
