Log whether a refusal names its attempt

An operator who sees one connection a request to an upstream needs to know whether its refusals lack the id, also when they come on new connections, where they are believed and no other line says so.

--- a/internal/ingress/request_log.go
+++ b/internal/ingress/request_log.go
@@ -121,7 +121,7 @@
 		}
 		l.logSuccess("request: answered", fields...)
 	case entry.Shed:
-		l.logFailure("request: shed by the upstream", append(fields, "load", formatLoad(outcome.Load), "limit", formatLimit(outcome.Limit), "rest", outcome.Rest)...)
+		l.logFailure("request: shed by the upstream", append(fields, "load", formatLoad(outcome.Load), "limit", formatLimit(outcome.Limit), "rest", outcome.Rest, "anonymous", outcome.IsAnonymous)...)
 	case entry.Misdirected:
 		l.logFailure("request: misdirected; another upstream has the address", fields...)
 	case entry.Unmatched:
