--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -83,6 +83,7 @@
 	// Set after the deadline, since SetDeadline would undo an interruption.
 	x.setAbort(c.interrupt)
 	c.requests++
+	c.isPending = true
 	n, err := c.conn.Write(x.encodeRequest(d))
 	if err != nil {
 		if n == 0 && !x.isCancelled() {
@@ -92,6 +93,7 @@
 	}
 	outcome, isReusable = x.readOutcome(c, startedAt)
 	isReusable = isReusable && !x.needsNewConnection(d)
+	c.isPending = !isComplete(outcome)
 	if isReusable {
 		x.keepAlive, c.isReused = c.idleTimeout, true
 		x.pool.put(d, c)
@@ -99,6 +101,15 @@
 	return outcome, false
 }
 
+// isComplete reports whether an outcome is a complete answer to the request, after which the upstream has nothing left to do.
+func isComplete(outcome entry.AttemptOutcome) bool {
+	switch outcome.(type) {
+	case entry.Answered, entry.Shed, entry.Misdirected:
+		return true
+	}
+	return false
+}
+
 // acquire returns an idle or a new connection to the upstream.
 func (x *exchange) acquire(d entry.Dispatch) (*upstreamConnection, error) {
 	if x.needsNewConnection(d) {
