Count every body and response before it is read

With 1.7 times the usual callers of 28 MiB bodies, within the operator's limits, the process exceeded its memory and was killed again and again; each time, callers of small requests on kept connections lost them.

Cause: readBody compared a body with what was left of a quarter of the memory, but counted it only once it had been read, so bodies that arrived at the same time did not see each other. encodeRequest and digest then made two more copies, which nothing counted, and a buffer of a chunked body doubled as it grew. The feature "held" counted ahead of reading, but was on only where a route is an upload or the settings ask for it, and it counted responses of unknown length after they had been read.

There is now one way of counting, package internal/memory, always on. A body or response takes memory before it is read: all of it if its length is known, else 64 KiB at a time, up to a half of the process's memory. Bodies are hashed and sent from the parts that they were read into; only those of up to 16 KiB are copied, to be sent in a single write with the header, and the copy counts. Parts are used again, since the collector gives large garbage back too late. The priority of a body is looked up before it is read, so that the least urgent are refused first; bodies and large responses leave room for small requests. A response beyond its reservation waits for memory and is broken off if there is none. The time to return follows from the rate at which memory was released and from those that were refused before.

The bound on the time to send a body becomes a minute, the longest that any request may take, with pauses of at most 10 s: the 30 s of the feature would now cut off callers that were served before without it.

The feature is removed. Settings of earlier versions that name "held" are accepted, and the instance logs that it is always on.

Ruled out: garbage alone.

Changes to tests: ledger_test.go moves with the code. The harness of memory_test.go is given the memory for bodies instead of the process's, since the fraction has changed, and TestBodiesThatAreReadCount sends bodies of 500 instead of 400 KiB, of which two did not fit into five eighths and now do not fit into seven.

--- a/features/features.go
+++ b/features/features.go
@@ -10,27 +10,25 @@
 	Plan bool
 	// Speed is predicting latencies from the momentary speed of upstreams.
 	Speed bool
-	// Held is bounding the memory for bodies and responses by urgency.
-	Held bool
 }
 
 // All returns the set of all parts.
-func All() Set { return Set{Order: true, Even: true, Plan: true, Speed: true, Held: true} }
+func All() Set { return Set{Order: true, Even: true, Plan: true, Speed: true} }
 
 // Demanding returns the parts for deployments with hard load. Even load is not among them: it keeps upstreams from
 // shedding, but more requests are refused for it than without.
-func Demanding() Set { return Set{Order: true, Plan: true, Speed: true, Held: true} }
+func Demanding() Set { return Set{Order: true, Plan: true, Speed: true} }
 
 // Union returns the set of the parts that are on in either set.
 func (s Set) Union(other Set) Set {
 	return Set{
 		Order: s.Order || other.Order, Even: s.Even || other.Even, Plan: s.Plan || other.Plan,
-		Speed: s.Speed || other.Speed, Held: s.Held || other.Held,
+		Speed: s.Speed || other.Speed,
 	}
 }
 
 // Names returns the names of all parts, as settings spell them.
-func Names() []string { return []string{"order", "even", "plan", "speed", "held"} }
+func Names() []string { return []string{"order", "even", "plan", "speed"} }
 
 // Parse returns the set of the named parts, and the names that are unknown.
 func Parse(names []string) (set Set, unknown []string) {
@@ -44,15 +42,18 @@
 			set.Plan = true
 		case "speed":
 			set.Speed = true
-		case "held":
-			set.Held = true
 		default:
-			unknown = append(unknown, name)
+			if !IsAlwaysOn(name) {
+				unknown = append(unknown, name)
+			}
 		}
 	}
 	return set, unknown
 }
 
+// IsAlwaysOn reports whether the name is that of a part that earlier versions could switch on and that is always on now.
+func IsAlwaysOn(name string) bool { return name == "held" }
+
 // Names returns the names of the parts that are on, for logs.
 func (s Set) Names() []string {
 	var names []string
--- a/features/features_test.go
+++ b/features/features_test.go
@@ -20,3 +20,13 @@
 	require.Equal(t, features.Set{Even: true, Plan: true}, set.Union(features.Set{Plan: true}))
 	require.Empty(t, features.Set{}.Names())
 }
+
+// Guards against settings for an earlier version that are refused because they name a part that is always on now.
+func TestPartsThatAreAlwaysOnAreAccepted(t *testing.T) {
+	set, unknown := features.Parse([]string{"plan", "held"})
+	require.Empty(t, unknown)
+	require.Equal(t, features.Set{Plan: true}, set)
+	require.True(t, features.IsAlwaysOn("held"))
+	require.False(t, features.IsAlwaysOn("plan"))
+	require.NotContains(t, features.Names(), "held")
+}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -53,6 +53,7 @@
 	}
 	debug.SetMemoryLimit(int64(config.MemoryLimit) * memoryLimitPercent / 100)
 	debug.SetGCPercent(gcPercent)
+	logAlwaysOn(s.Features, config.Log)
 	instance, err := ingress.New(config)
 	if err != nil {
 		return &RunError{Cause: err}
@@ -66,6 +67,15 @@
 	return nil
 }
 
+// logAlwaysOn logs the features that settings for an earlier version switch on and that are always on now.
+func logAlwaysOn(names []string, logger *log.Logger) {
+	for _, name := range names {
+		if features.IsAlwaysOn(name) {
+			logger.Info("settings: a feature is always on and need not be named", "feature", name)
+		}
+	}
+}
+
 func entryConfig(s settings.Entry) (ingress.Config, error) {
 	level, err := log.ParseLevel(s.LogLevel)
 	if err != nil {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -140,6 +140,15 @@
 // fraction of a second.
 const startingRetryDelay = 300 * time.Millisecond
 
+// PriorityOf returns the priority that a request would get on arrival, and false if it would be refused.
+func (s *State) PriorityOf(e RequestArrived) (admission.Priority, bool) {
+	r := &request{route: s.routes.match(e.Host, e.Path)}
+	if r.route == nil || !s.authorise(r, e) {
+		return admission.Priority{}, false
+	}
+	return priorityOf(s.configuration.Organisations[r.organisation], r.route), true
+}
+
 func (s *State) authorise(r *request, e RequestArrived) bool {
 	if e.HasKey {
 		if organisation, ok := s.configuration.Keys[e.KeyDigest]; ok {
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -14,6 +13,7 @@
 
 	"bluebellhold/id"
 	"bluebellhold/internal/entry"
+	"bluebellhold/internal/memory"
 	"bluebellhold/internal/tcp"
 )
 
@@ -30,7 +30,7 @@
 type upstreamResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *memory.Payload
 }
 
 // attempt sends the request to one upstream and reads the whole response.
@@ -78,7 +78,7 @@
 	}
 	// Set after the deadline, since SetDeadline would undo an interruption.
 	x.setAbort(c.interrupt)
-	n, err := c.conn.Write(x.encodeRequest(d))
+	n, err := x.sendRequest(c.conn, d)
 	if err != nil {
 		if n == 0 && !x.isCancelled() {
 			return entry.NothingSent{IsStaleConnection: c.isReused}, c.isReused
@@ -145,23 +145,47 @@
 	return entry.Broken{}
 }
 
-// encodeRequest returns the bytes of the request to the upstream, header and body, to be sent in a single write.
-func (x *exchange) encodeRequest(d entry.Dispatch) []byte {
+// maxJoinedBody is the size of a body up to which it is copied, so that it is sent in a single write with the header.
+const maxJoinedBody = 16 << 10
+
+// joinedSize returns the size of the copy of the body that sending it takes.
+func (x *exchange) joinedSize() id.Bytes {
+	if x.body.Len() > maxJoinedBody {
+		return 0
+	}
+	return id.Bytes(x.body.Len())
+}
+
+// sendRequest sends the request to the upstream, and returns how much of it was sent.
+func (x *exchange) sendRequest(conn tcp.Conn, d entry.Dispatch) (int64, error) {
+	joined := x.joinedSize()
+	n, err := conn.Write(x.encodeRequest(d, joined))
+	if err != nil || joined > 0 {
+		return int64(n), err
+	}
+	sent, err := x.body.WriteTo(conn)
+	return int64(n) + sent, err
+}
+
+// encodeRequest returns the header of the request to the upstream, followed by the body if it is to be joined to it.
+func (x *exchange) encodeRequest(d entry.Dispatch, joined id.Bytes) []byte {
 	header := x.r.Header.Clone()
 	removeHopByHopHeaders(header)
 	x.config.HeaderCodec.SetUpstreamHeaders(header, UpstreamHeaders{
 		Upstream: d.Upstream, Organisation: d.Organisation, Timeout: time.Until(d.Deadline),
 	})
 	if x.r.ContentLength != 0 {
-		header["Content-Length"] = []string{strconv.Itoa(len(x.body))}
+		header["Content-Length"] = []string{strconv.Itoa(x.body.Len())}
 	}
 	var b bytes.Buffer
-	b.Grow(1024 + len(x.body))
+	b.Grow(1024 + int(joined))
 	b.WriteString(x.r.Method + " " + x.r.RequestURI + " HTTP/1.1\r\nHost: " + x.r.Host + "\r\n")
 	// Writing to a buffer never fails.
 	_ = header.Write(&b)
 	b.WriteString("\r\n")
-	b.Write(x.body)
+	if joined > 0 {
+		_, _ = x.body.WriteTo(&b)
+	}
 	return b.Bytes()
 }
 
@@ -169,7 +193,7 @@
 type parsedResponse struct {
 	response *http.Response
 	headers  ResponseHeaders
-	body     []byte
+	body     *memory.Payload
 }
 
 // readOutcome reads the response and returns the outcome, and whether the connection can be reused.
@@ -178,6 +202,12 @@
 	if err != nil {
 		return x.classifyError(startedAt, err), false
 	}
+	var isKept bool
+	defer func() {
+		if !isKept {
+			parsed.body.Release()
+		}
+	}()
 	status, header := parsed.response.StatusCode, parsed.response.Header
 	isReusable := !parsed.response.Close && c.reader.Buffered() == 0
 	if isReusable {
@@ -196,6 +226,10 @@
 		return x.classifyError(startedAt, &UnexpectedResponseError{Status: status}), false
 	}
 	removeHopByHopHeaders(header)
+	isKept = true
+	if x.response != nil {
+		x.response.body.Release()
+	}
 	x.response = &upstreamResponse{status: status, header: header, body: parsed.body}
 	return x.newAnswered(parsed, startedAt), isReusable
 }
@@ -210,13 +244,10 @@
 		if err != nil {
 			return parsedResponse{}, err
 		}
-		expected := id.Bytes(min(max(response.ContentLength, 0), maxResponseBytes))
-		x.holdResponse(expected)
-		body, err := readResponseBody(response)
+		body, err := x.readResponseBody(response)
 		if err != nil {
 			return parsedResponse{}, err
 		}
-		x.holdResponse(id.Bytes(len(body)) - expected)
 		headers := x.config.HeaderCodec.ParseResponseHeaders(response.StatusCode, response.Header)
 		for _, name := range headers.Unknown {
 			x.requestLog.logOddHeader(x, "upstreams: unknown header", name, response.Header.Get(name))
@@ -227,6 +258,7 @@
 		if headers.AttemptID == "" || headers.AttemptID == x.callerHeaders.AttemptID {
 			return parsedResponse{response, headers, body}, nil
 		}
+		body.Release()
 		x.requestLog.logSkippedResponse(x, headers.AttemptID)
 		if response.Close {
 			break
@@ -239,7 +271,7 @@
 	status := parsed.response.StatusCode
 	return entry.Answered{
 		Status: status, IsServerError: status >= http.StatusInternalServerError, Elapsed: time.Since(startedAt),
-		Size: id.Bytes(len(parsed.body)), Load: parsed.headers.Load, Limit: parsed.headers.Limit,
+		Size: id.Bytes(parsed.body.Len()), Load: parsed.headers.Load, Limit: parsed.headers.Limit,
 		IsLeaving: parsed.headers.IsLeaving, Rest: parsed.headers.Rest,
 	}
 }
@@ -259,20 +291,19 @@
 	return nil, &UnexpectedResponseError{Status: http.StatusSwitchingProtocols}
 }
 
-// readResponseBody reads a whole body of at most maxResponseBytes.
-func readResponseBody(response *http.Response) ([]byte, error) {
-	var body bytes.Buffer
-	if response.ContentLength > 0 {
-		body.Grow(int(min(response.ContentLength, maxResponseBytes)) + bytes.MinRead)
-	}
-	n, err := body.ReadFrom(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err != nil {
-		return nil, err
+// readResponseBody reads a whole body of at most maxResponseBytes into memory that is counted ahead.
+func (x *exchange) readResponseBody(response *http.Response) (*memory.Payload, error) {
+	if response.Body == http.NoBody {
+		// The response to a HEAD request may have a length without a body.
+		return nil, nil
 	}
-	if n > maxResponseBytes {
+	body, err := x.memory.ReadResponse(
+		x.r.Context(), response.Body, id.Bytes(response.ContentLength), maxResponseBytes, &x.reserved)
+	var large *memory.TooLargeError
+	if errors.As(err, &large) {
 		return nil, &ResponseTooLargeError{Limit: maxResponseBytes}
 	}
-	return body.Bytes(), nil
+	return body, err
 }
 
 // removeHopByHopHeaders removes the hop-by-hop headers and those that the Connection header names.
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -1,8 +1,8 @@
 package ingress
 
 import (
-	"bytes"
 	"context"
+	"crypto/sha256"
 	"io"
 	"net/http"
 	"strconv"
@@ -10,11 +10,10 @@
 
 	"bluebellhold/id"
 	"bluebellhold/internal/entry"
+	"bluebellhold/internal/memory"
 )
 
 const (
-	// Buffered request bodies may use 1/bodyMemoryDivisor of the memory limit.
-	bodyMemoryDivisor = 4
 	// effectBufferSize exceeds the number of effects that can be pending for one request, so that sending one never
 	// blocks.
 	effectBufferSize = 4
@@ -29,11 +28,9 @@
 	r             *http.Request
 	requestID     id.Request
 	callerHeaders CallerHeaders
-	body          []byte
-	// bodyCounted is the size of the body as far as it counts towards Instance.bodyBytes.
-	bodyCounted int64
-	startedAt   time.Time
-	effects     chan entry.RequestEffect
+	body          *memory.Payload
+	startedAt     time.Time
+	effects       chan entry.RequestEffect
 	// abortAttempt interrupts the current attempt. It and cancelled are guarded by Instance.mu.
 	abortAttempt func()
 	cancelled    bool
@@ -45,10 +42,10 @@
 	// may stay idle after the attempt; zero means that it was closed.
 	isFar     bool
 	keepAlive time.Duration
-	// isHeld is set if the feature Held was on when the request arrived: its body and response, which use bodyHeld and
-	// responseHeld, count towards the memory. isMemoryShort is set if there was no memory for the response.
-	isHeld, isMemoryShort  bool
-	bodyHeld, responseHeld id.Bytes
+	// reserved is what is left of the memory reserved for the current attempt's response. isMemoryShort is set if there was
+	// none for an attempt.
+	reserved      id.Bytes
+	isMemoryShort bool
 	// attemptErr is the cause of the last attempt's failure, for the log.
 	attemptErr error
 }
@@ -73,7 +70,9 @@
 	defer x.unregister()
 	stopWatching := context.AfterFunc(r.Context(), func() { i.Post(entry.CallerDisconnected{Request: x.requestID}) })
 	defer stopWatching()
-	i.Post(x.arrivalEvent())
+	arrival := x.arrivalEvent()
+	arrival.Digest = x.digest()
+	i.Post(arrival)
 	for effect := range x.effects {
 		if x.executeEffect(effect) {
 			return
@@ -85,7 +84,6 @@
 func (x *exchange) checkHeaderSize() bool {
 	x.mu.Lock()
 	limit := int(x.state.CallerLimits().MaxHeaderBytes)
-	x.isHeld = x.state.Features().Held
 	x.mu.Unlock()
 	size := len(x.r.Method) + len(x.r.RequestURI) + len(x.r.Host)
 	for name, values := range x.r.Header {
@@ -110,48 +108,10 @@
 		return true
 	}
 	x.mu.Lock()
-	limit := int64(x.state.CallerLimits().MaxBodyBytes)
+	limit := x.state.CallerLimits().MaxBodyBytes
+	priority, isKnown := x.state.PriorityOf(x.arrivalEvent())
 	x.mu.Unlock()
-	available := int64(x.config.MemoryLimit)/bodyMemoryDivisor - x.bodyBytes.Load()
-	if limit > 0 && x.r.ContentLength > limit {
-		x.refuse(entry.Refusal{Code: entry.CodeInvalidBody})
-		return false
-	}
-	if x.isHeld {
-		return x.readHeldBody(limit)
-	}
-	if x.r.ContentLength > available {
-		x.refuse(entry.Refusal{Code: entry.CodeOverloaded, RetryAt: time.Now().Add(time.Second)})
-		return false
-	}
-	if limit <= 0 || limit > available {
-		limit = available
-	}
-	var body bytes.Buffer
-	if x.r.ContentLength > 0 {
-		body.Grow(int(x.r.ContentLength) + bytes.MinRead)
-	}
-	n, err := body.ReadFrom(io.LimitReader(x.r.Body, limit+1))
-	if err != nil {
-		x.w.Header().Set("Connection", "close")
-		x.refuse(entry.Refusal{Code: entry.CodeInvalidBody, MayHaveRun: true})
-		return false
-	}
-	if n > limit {
-		x.refuse(entry.Refusal{Code: entry.CodeInvalidBody})
-		return false
-	}
-	x.body = body.Bytes()
-	x.bodyCounted = n
-	x.bodyBytes.Add(n)
-	return true
-}
-
-// releaseMemory ends the counting of the request's body and response.
-func (x *exchange) releaseMemory() {
-	x.bodyBytes.Add(-x.bodyCounted)
-	x.releaseBody()
-	x.releaseResponse()
+	return x.readCountedBody(limit, memory.Requester{Priority: priority, IsKnown: isKnown})
 }
 
 func (x *exchange) register() {
@@ -222,18 +182,18 @@
 	return entry.RequestArrived{
 		Request: x.requestID, Host: normaliseHost(x.r.Host), Path: requestPath(x.r.RequestURI),
 		Object: x.callerHeaders.Object, KeyDigest: x.callerHeaders.KeyDigest, HasKey: x.callerHeaders.HasKey,
-		CallerTimeout: x.callerHeaders.Timeout, Digest: x.digest(), BodySize: id.Bytes(len(x.body)),
+		CallerTimeout: x.callerHeaders.Timeout, BodySize: id.Bytes(x.body.Len()),
 	}
 }
 
 // digest returns the digest of the method, target, key and body, which is the same for a caller's retry.
 func (x *exchange) digest() id.Digest {
-	var b bytes.Buffer
-	b.Grow(len(x.r.Method) + len(x.r.RequestURI) + len(x.callerHeaders.KeyDigest) + len(x.body) + 2)
-	b.WriteString(x.r.Method + "\n" + x.r.RequestURI + "\n")
-	b.Write(x.callerHeaders.KeyDigest[:])
-	b.Write(x.body)
-	return id.DigestOf(b.Bytes())
+	h := sha256.New()
+	// Writing to a hash never fails.
+	_, _ = io.WriteString(h, x.r.Method+"\n"+x.r.RequestURI+"\n")
+	_, _ = h.Write(x.callerHeaders.KeyDigest[:])
+	_, _ = x.body.WriteTo(h)
+	return id.Digest(h.Sum(nil))
 }
 
 // executeEffect executes an effect and reports whether the exchange has ended.
@@ -269,14 +229,13 @@
 	}
 	if x.r.Method != http.MethodHead && response.status != http.StatusNoContent &&
 		response.status != http.StatusNotModified {
-		header["Content-Length"] = []string{strconv.Itoa(len(response.body))}
+		header["Content-Length"] = []string{strconv.Itoa(response.body.Len())}
 	}
 	x.callerMetrics.recordResponse(time.Since(x.startedAt), response.status)
-	x.body = nil
-	x.releaseBody()
-	x.setResponseDeadline(len(response.body))
+	x.body.Release()
+	x.setResponseDeadline(response.body.Len())
 	x.w.WriteHeader(response.status)
-	if _, err := x.w.Write(response.body); err != nil {
+	if _, err := response.body.WriteTo(x.w); err != nil {
 		x.requestLog.logWriteError(x, err)
 	}
 }
@@ -284,7 +243,7 @@
 // setResponseDeadline bounds the time to write the response, so that a caller that does not read it cannot occupy the
 // exchange indefinitely.
 func (x *exchange) setResponseDeadline(size int) {
-	deadline := time.Now().Add(x.responseWriteTimeout(size))
+	deadline := time.Now().Add(responseWriteTimeout(size))
 	if err := http.NewResponseController(x.w).SetWriteDeadline(deadline); err != nil {
 		x.log.Debug("callers: setting the write deadline failed", "error", err)
 	}
--- a/internal/ingress/hold.go
+++ b/internal/ingress/hold.go
@@ -1,38 +1,70 @@
 package ingress
 
 import (
-	"bytes"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"bluebellhold/id"
 	"bluebellhold/internal/entry"
+	"bluebellhold/internal/memory"
 )
 
-// readHeldBody is readBody with the feature Held: it takes memory for a body before reading it.
-func (x *exchange) readHeldBody(limit int64) bool {
-	if err := http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(bodyReadTimeout)); err != nil {
-		x.log.Debug("callers: setting the read deadline failed", "error", err)
+const (
+	// Bodies and responses may use 1/payloadMemoryDivisor of the memory limit. The rest is for the program, its other
+	// allocations until they are collected, and bytes that have not been read.
+	payloadMemoryDivisor = 2
+	// bodyReadTimeout bounds the time that a caller takes to send its body. No request may take longer.
+	bodyReadTimeout = time.Minute
+	// bodyStallTimeout bounds the time in which a caller sends nothing of its body.
+	bodyStallTimeout = 10 * time.Second
+	// stalledWriteTimeout bounds the time to write a response of no size, and minWriteRate is the rate in bytes per second
+	// at which a caller must read at least.
+	stalledWriteTimeout = 5 * time.Second
+	minWriteRate        = 32 << 10
+)
+
+// callerBody reads the body of a caller, which must not stall.
+type callerBody struct {
+	*exchange
+	controller *http.ResponseController
+	deadline   time.Time
+}
+
+// Read reads a part of the body.
+func (b *callerBody) Read(p []byte) (int, error) {
+	deadline := time.Now().Add(bodyStallTimeout)
+	if b.deadline.Before(deadline) {
+		deadline = b.deadline
 	}
-	var body bytes.Buffer
-	err := x.fillBody(&body, limit)
-	var short *MemoryShortError
+	if err := b.controller.SetReadDeadline(deadline); err != nil {
+		b.log.Debug("callers: setting the read deadline failed", "error", err)
+	}
+	return b.r.Body.Read(p)
+}
+
+// readCountedBody reads the body into memory that is counted ahead. It refuses the request and returns false if the body is
+// invalid, or exceeds the limit or the memory.
+func (x *exchange) readCountedBody(limit id.Bytes, from memory.Requester) bool {
+	controller := http.NewResponseController(x.w)
+	reader := &callerBody{exchange: x, controller: controller, deadline: time.Now().Add(bodyReadTimeout)}
+	body, err := x.memory.ReadBody(x.r.Context(), reader, id.Bytes(x.r.ContentLength), limit, from)
+	var short *memory.ShortError
+	var large *memory.TooLargeError
 	switch {
+	case errors.As(err, &large):
+		x.refuse(entry.Refusal{Code: entry.CodeInvalidBody})
 	case errors.As(err, &short):
 		// What has not been read of the body stays on the connection.
 		x.w.Header().Set("Connection", "close")
-		x.refuse(entry.Refusal{Code: entry.CodeOverloaded, RetryAt: time.Now().Add(memoryRetryDelay)})
+		x.refuse(entry.Refusal{Code: entry.CodeOverloaded, RetryAt: x.memory.ReturnAt(short.Size)})
 	case err != nil:
 		x.w.Header().Set("Connection", "close")
 		x.refuse(entry.Refusal{Code: entry.CodeInvalidBody, MayHaveRun: true})
-	case limit > 0 && int64(body.Len()) > limit:
-		x.refuse(entry.Refusal{Code: entry.CodeInvalidBody})
 	default:
-		x.body = body.Bytes()
+		x.body = body
 		// net/http watches the connection for its end while the request is served.
-		if err := http.NewResponseController(x.w).SetReadDeadline(time.Time{}); err != nil {
+		if err := controller.SetReadDeadline(time.Time{}); err != nil {
 			x.log.Debug("callers: clearing the read deadline failed", "error", err)
 		}
 		return true
@@ -40,44 +72,10 @@
 	return false
 }
 
-// fillBody reads the body in steps for which there is memory, up to one byte more than limit.
-func (x *exchange) fillBody(body *bytes.Buffer, limit int64) error {
-	if n := x.r.ContentLength; n > 0 {
-		if !x.holdBody(id.Bytes(n + bytes.MinRead)) {
-			return &MemoryShortError{Size: id.Bytes(n)}
-		}
-		body.Grow(int(n) + bytes.MinRead)
-		_, err := body.ReadFrom(x.r.Body)
-		return err
-	}
-	for limit <= 0 || int64(body.Len()) <= limit {
-		// The buffer doubles as it grows, and holds both copies meanwhile.
-		if !x.holdBody(2 * bodyReadStep) {
-			return &MemoryShortError{Size: bodyReadStep}
-		}
-		n, err := body.ReadFrom(io.LimitReader(x.r.Body, int64(bodyReadStep)))
-		if err != nil || n < int64(bodyReadStep) {
-			return err
-		}
-	}
-	return nil
-}
-
-func (x *exchange) holdBody(size id.Bytes) bool {
-	if !x.memory.holdBody(x.r.Context(), size) {
-		return false
-	}
-	x.bodyHeld += size
-	return true
-}
-
 // attemptWithin makes an attempt if there is memory for the expected response. If there is none, nothing is sent, and the
 // request is refused.
 func (x *exchange) attemptWithin(d entry.Dispatch) entry.AttemptOutcome {
-	if !x.isHeld {
-		return x.attempt(d)
-	}
-	reserved, ok := x.memory.reserve(d.Diagnostics.Route, d.Priority, id.Bytes(len(x.body)))
+	reserved, ok := x.memory.Reserve(d.Diagnostics.Route, d.Priority, x.joinedSize())
 	if !ok {
 		x.isMemoryShort = true
 		x.requestLog.logMemoryShort(x, d)
@@ -85,55 +83,34 @@
 		x.Post(entry.CallerDisconnected{Request: x.requestID})
 		return entry.NothingSent{IsStaleConnection: true}
 	}
+	x.reserved = reserved
 	outcome := x.attempt(d)
 	if answered, ok := outcome.(entry.Answered); ok {
-		x.memory.observeResponse(d.Diagnostics.Route, answered.Size)
-	} else {
-		x.releaseResponse()
+		x.memory.ObserveResponse(d.Diagnostics.Route, answered.Size)
 	}
-	x.memory.endReservation(reserved)
+	x.memory.EndReservation(x.reserved)
+	x.reserved = 0
 	return outcome
 }
 
-// holdResponse counts memory for a response that is being read, or gives back what it does not need.
-func (x *exchange) holdResponse(size id.Bytes) {
-	if x.isHeld {
-		x.memory.hold(size)
-		x.responseHeld += size
+// releaseMemory ends the counting of the request's body and response.
+func (x *exchange) releaseMemory() {
+	x.body.Release()
+	if x.response != nil {
+		x.response.body.Release()
 	}
 }
 
-func (x *exchange) releaseResponse() {
-	x.memory.release(x.responseHeld)
-	x.responseHeld = 0
-}
-
-func (x *exchange) releaseBody() {
-	x.memory.release(x.bodyHeld)
-	x.bodyHeld = 0
-}
-
 // memoryRefusal returns the refusal of a request for which there was no memory: with the real cause and a retry time. That
 // it has not run is known to the reducer.
 func (x *exchange) memoryRefusal(r entry.Refusal) entry.Refusal {
 	if x.isMemoryShort && r.Code == entry.CodeNoUpstream {
-		r.Code, r.RetryAt = entry.CodeOverloaded, time.Now().Add(memoryRetryDelay)
+		r.Code, r.RetryAt = entry.CodeOverloaded, x.memory.ReturnAt(id.Bytes(x.body.Len()))
 	}
 	return r
 }
 
 // responseWriteTimeout bounds the time to write a response of a size.
-func (x *exchange) responseWriteTimeout(size int) time.Duration {
-	if !x.isHeld {
-		return writeTimeout
-	}
-	return min(heldWriteTimeout+time.Duration(size)*time.Second/heldWriteRate, writeTimeout)
+func responseWriteTimeout(size int) time.Duration {
+	return min(stalledWriteTimeout+time.Duration(size)*time.Second/minWriteRate, writeTimeout)
 }
-
-// MemoryShortError reports that there is no memory for a part of a body.
-type MemoryShortError struct {
-	Size id.Bytes
-}
-
-// Error describes the error.
-func (e *MemoryShortError) Error() string { return "ingress: no memory for a request body" }
--- a/internal/ingress/instance.go
+++ b/internal/ingress/instance.go
@@ -15,6 +15,7 @@
 
 	"bluebellhold/id"
 	"bluebellhold/internal/entry"
+	"bluebellhold/internal/memory"
 )
 
 const (
@@ -56,9 +57,8 @@
 	pool          *pool
 	servedTunnels atomic.Int64
 	lastRequestID atomic.Uint64
-	bodyBytes     atomic.Int64
-	// memory counts the bodies and responses of callers' requests if the feature Held is on.
-	memory     *memory
+	// memory counts the bodies and responses of callers' requests.
+	memory     *memory.Memory
 	isStopping atomic.Bool
 	// heartbeatRequested triggers a heartbeat ahead of schedule.
 	heartbeatRequested chan struct{}
@@ -91,7 +91,7 @@
 		}),
 		exchanges:          make(map[id.Request]*exchange),
 		pool:               newPool(c.Registry),
-		memory:             newMemory(c.MemoryLimit/bodyMemoryDivisor, c.Registry),
+		memory:             memory.New(c.MemoryLimit/payloadMemoryDivisor, c.Registry),
 		callerConnections:  newCallerConnections(),
 		heartbeatRequested: make(chan struct{}, 1),
 		tables:             make(map[string]*relayedTable),
--- a/internal/ingress/memory_test.go
+++ b/internal/ingress/memory_test.go
@@ -15,17 +15,16 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"bluebellhold/features"
 	"bluebellhold/id"
 	"bluebellhold/platform"
 )
 
-// newHeldHarness starts an instance that counts memory.
-func newHeldHarness(t *testing.T, memoryLimit id.Bytes, upstream func(net.Conn)) *harness {
+// newMemoryHarness starts an instance whose bodies and responses may use a size.
+func newMemoryHarness(t *testing.T, size id.Bytes, upstream func(net.Conn)) *harness {
 	h := &harness{
-		T: t, feed: &memoryFeed{}, address: freeAddress(t), log: &lockedBuffer{}, features: features.Set{Held: true},
-		registry: metrics.NewRegistry(), memoryLimit: memoryLimit,
-		client: &http.Client{Transport: &http.Transport{}, Timeout: 10 * time.Second},
+		T: t, feed: &memoryFeed{}, address: freeAddress(t), log: &lockedBuffer{}, registry: metrics.NewRegistry(),
+		// Bodies and responses may use a half of the memory limit.
+		memoryLimit: 2 * size, client: &http.Client{Transport: &http.Transport{}, Timeout: 10 * time.Second},
 	}
 	h.feed.put(platform.OperatorTable, "config", []byte(document))
 	h.serveUpstream("u0", upstream)
@@ -44,14 +43,14 @@
 // Guards against bodies that are not counted while they are read, or counted for ever.
 func TestBodiesThatAreReadCount(t *testing.T) {
 	var runs atomic.Int64
-	h := newHeldHarness(t, 4<<20, serveWith(func(r *http.Request) string {
+	h := newMemoryHarness(t, 1<<20, serveWith(func(r *http.Request) string {
 		runs.Add(1)
 		return responseTo(r, "ok")
 	}))
-	// Each slow body takes 400 kB of 640 kB: 5 of 8 parts of a quarter of the limit.
+	// Each slow body takes 512 KiB of 896 KiB: 7 of 8 parts of what bodies and responses may use.
 	blocked, unblock := io.Pipe()
 	slow := h.request("POST", "/draw/slow", "")
-	slow.Body, slow.ContentLength = blocked, 400<<10
+	slow.Body, slow.ContentLength = blocked, 500<<10
 	ended := make(chan int, 1)
 	go func() {
 		response, err := h.client.Do(slow)
@@ -62,14 +61,14 @@
 		_ = response.Body.Close()
 		ended <- response.StatusCode
 	}()
-	require.Eventually(t, func() bool { return h.heldBytes() >= 400<<10 }, 5*time.Second, time.Millisecond)
-	response, err := h.client.Do(h.request("POST", "/draw/second", strings.Repeat("x", 400<<10)))
+	require.Eventually(t, func() bool { return h.heldBytes() >= 500<<10 }, 5*time.Second, time.Millisecond)
+	response, err := h.client.Do(h.request("POST", "/draw/second", strings.Repeat("x", 500<<10)))
 	require.NoError(t, err)
 	require.NoError(t, response.Body.Close())
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
 	require.NotEmpty(t, response.Header.Get("Retry-After"))
 	require.Zero(t, runs.Load())
-	_, err = unblock.Write(make([]byte, 400<<10))
+	_, err = unblock.Write(make([]byte, 500<<10))
 	require.NoError(t, err)
 	require.NoError(t, unblock.Close())
 	require.Equal(t, http.StatusOK, <-ended)
@@ -80,7 +79,7 @@
 
 // Guards against a body without end that uses up the memory.
 func TestBodyWithoutEndIsRefused(t *testing.T) {
-	h := newHeldHarness(t, 2<<20, serveWith(func(r *http.Request) string { return responseTo(r, "ok") }))
+	h := newMemoryHarness(t, 512<<10, serveWith(func(r *http.Request) string { return responseTo(r, "ok") }))
 	reader, writer := io.Pipe()
 	go func() {
 		for {
@@ -106,7 +105,7 @@
 func TestRequestIsNotSentWithoutMemoryForItsResponse(t *testing.T) {
 	var runs atomic.Int64
 	release := make(chan struct{})
-	h := newHeldHarness(t, 4<<20, serveWith(func(r *http.Request) string {
+	h := newMemoryHarness(t, 1<<20, serveWith(func(r *http.Request) string {
 		if runs.Add(1) > 1 {
 			<-release
 		}
@@ -138,7 +137,7 @@
 // Guards against a response whose memory is given back before a caller that does not read it has got it, or never.
 func TestResponseCountsUntilItIsWritten(t *testing.T) {
 	const size = 8 << 20
-	h := newHeldHarness(t, 256<<20, serveWith(func(r *http.Request) string { return responseTo(r, strings.Repeat("x", size)) }))
+	h := newMemoryHarness(t, 64<<20, serveWith(func(r *http.Request) string { return responseTo(r, strings.Repeat("x", size)) }))
 	conn, err := net.Dial("tcp", h.address)
 	require.NoError(t, err)
 	require.NoError(t, conn.(*net.TCPConn).SetReadBuffer(4096))
--- a/internal/ingress/request_log.go
+++ b/internal/ingress/request_log.go
@@ -180,7 +180,7 @@
 
 func (l *requestLog) logMemoryShort(x *exchange, d entry.Dispatch) {
 	l.logFailure("memory: request not sent", "id", x.callerHeaders.AttemptID, "upstream", d.Upstream,
-		"route", d.Diagnostics.Route, "body", len(x.body))
+		"route", d.Diagnostics.Route, "body", x.body.Len())
 }
 
 // logRefusal logs a refusal with the data that the decision was based on.
--- a/internal/ingress/ledger_test.go
+++ b/internal/memory/ledger_test.go
@@ -1,4 +1,4 @@
-package ingress
+package memory
 
 import (
 	"context"
@@ -13,6 +13,8 @@
 	"bluebellhold/id"
 )
 
+var start = time.Unix(1_700_000_000, 0)
+
 var (
 	urgent = admission.Priority{Organisation: 0, Route: 0}
 	middle = admission.Priority{Organisation: 0, Route: 1}
@@ -21,11 +23,11 @@
 
 // Guards against memory that is used up by less urgent requests, so that urgent ones are refused.
 func TestLeastUrgentRequestsAreRefusedFirst(t *testing.T) {
-	l := newMemoryLedger(8 << 20)
+	l := newLedger(8 << 20)
 	refusedAt := make(map[admission.Priority]id.Bytes)
 	for range 1000 {
 		for _, p := range []admission.Priority{urgent, middle, late} {
-			if _, ok := l.reserve(warmStart, "r", p, 0); !ok && refusedAt[p] == 0 {
+			if _, ok := l.reserve(start, "r", p, 0); !ok && refusedAt[p] == 0 {
 				refusedAt[p] = l.reserved
 			}
 		}
@@ -37,72 +39,79 @@
 
 // Guards against memory that stays free for urgent requests although there have been none for long.
 func TestMemoryIsNotKeptForAbsentPriorities(t *testing.T) {
-	l := newMemoryLedger(8 << 20)
-	_, ok := l.reserve(warmStart, "r", urgent, 0)
+	l := newLedger(8 << 20)
+	_, ok := l.reserve(start, "r", urgent, 0)
 	require.True(t, ok)
-	l.hold(l.allowed(1))
-	_, ok = l.reserve(warmStart.Add(time.Second), "r", late, 0)
+	l.held += l.allowed(1)
+	_, ok = l.reserve(start.Add(time.Second), "r", late, 0)
 	require.False(t, ok)
-	_, ok = l.reserve(warmStart.Add(priorityMemory), "r", late, 0)
+	_, ok = l.reserve(start.Add(priorityMemory), "r", late, 0)
 	require.True(t, ok)
 }
 
 // Guards against a request that is sent although its route's responses do not fit.
 func TestLargeResponsesAreReserved(t *testing.T) {
-	l := newMemoryLedger(1 << 20)
+	l := newLedger(1 << 20)
 	for range 100 {
 		l.observeResponse("bundles", 600<<10)
 	}
-	size, ok := l.reserve(warmStart, "bundles", urgent, 0)
+	size, ok := l.reserve(start, "bundles", urgent, 0)
 	require.True(t, ok)
 	require.Equal(t, id.Bytes(600<<10), size)
-	_, ok = l.reserve(warmStart, "bundles", urgent, 0)
+	_, ok = l.reserve(start, "bundles", urgent, 0)
 	require.False(t, ok)
 	l.endReservation(size)
-	_, ok = l.reserve(warmStart, "bundles", urgent, 0)
+	_, ok = l.reserve(start, "bundles", urgent, 0)
 	require.True(t, ok)
 }
 
+// Guards against large responses, of callers that don't read them, that leave no room for small requests.
+func TestLargeResponsesLeaveRoomForSmallOnes(t *testing.T) {
+	l := newLedger(64 << 20)
+	for range 100 {
+		l.observeResponse("bundles", 7<<20)
+	}
+	for isFull := false; !isFull; {
+		_, ok := l.reserve(start, "bundles", urgent, 0)
+		isFull = !ok
+	}
+	for range 400 {
+		_, ok := l.reserve(start, "r", urgent, 0)
+		require.True(t, ok)
+	}
+}
+
 // Guards against bodies that exceed their part of the memory, and against counts that drift.
 func TestLedgerStaysWithinItsLimit(t *testing.T) {
-	l, random := newMemoryLedger(4<<20), rand.New(rand.NewPCG(1, 2))
+	l, random := newLedger(4<<20), rand.New(rand.NewPCG(1, 2))
 	var bodies []id.Bytes
 	for range 20_000 {
-		if size := id.Bytes(random.IntN(200 << 10)); random.IntN(2) == 0 && l.holdBody(size) {
+		if size := id.Bytes(random.IntN(200 << 10)); random.IntN(2) == 0 && l.holdBody(size, maxTier) {
 			bodies = append(bodies, size)
 		} else if len(bodies) > 0 {
-			l.release(bodies[0])
+			l.release(start, bodies[0])
 			bodies = bodies[1:]
 		}
 		require.LessOrEqual(t, l.held, l.allowed(maxTier))
 	}
 	for _, size := range bodies {
-		l.release(size)
+		l.release(start, size)
 	}
 	require.Zero(t, l.held)
 }
 
 // Guards against a body that is refused although memory is released shortly, or that waits for its caller's end.
 func TestBodyWaitsForMemory(t *testing.T) {
-	m := newMemory(8<<20, metrics.NewRegistry())
-	require.True(t, m.holdBody(context.Background(), 5<<20))
-	require.False(t, m.holdBody(context.Background(), 6<<20), "it never fits")
-	require.False(t, m.holdBody(context.Background(), 1<<20), "nothing is released")
+	m := New(8<<20, metrics.NewRegistry())
+	require.True(t, m.holdBody(context.Background(), 5<<20, Requester{}))
+	require.False(t, m.holdBody(context.Background(), 6<<20, Requester{}), "it never fits")
+	require.False(t, m.holdBody(context.Background(), 1<<20, Requester{}), "nothing is released")
 	ended, end := context.WithCancel(context.Background())
 	end()
-	require.False(t, m.holdBody(ended, 1<<20))
+	require.False(t, m.holdBody(ended, 1<<20, Requester{}))
 	done := make(chan bool)
-	go func() { done <- m.holdBody(context.Background(), 1<<20) }()
-	m.release(5 << 20)
+	go func() { done <- m.holdBody(context.Background(), 1<<20, Requester{}) }()
+	m.release(5<<20, nil)
 	require.True(t, <-done)
 	require.Zero(t, m.waiters)
 }
-
-// Guards against a caller that reads its response slowly and occupies memory for long.
-func TestTimeToWriteAResponseIsBounded(t *testing.T) {
-	x := &exchange{isHeld: true}
-	require.Equal(t, heldWriteTimeout, x.responseWriteTimeout(0))
-	require.Equal(t, heldWriteTimeout+2*time.Second, x.responseWriteTimeout(64<<10))
-	require.Equal(t, writeTimeout, x.responseWriteTimeout(8<<20))
-	require.Equal(t, writeTimeout, (&exchange{}).responseWriteTimeout(0))
-}
--- /dev/null
+++ b/internal/memory/memory.go
@@ -0,0 +1,206 @@
+package memory
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"bluebellhold/admission"
+	"bluebellhold/id"
+)
+
+const (
+	// waitTimeout is how long a body may wait for memory; callers' objectives are a few hundred ms.
+	waitTimeout = 300 * time.Millisecond
+	// maxWaiters bounds the bodies that wait.
+	maxWaiters = 256
+	// idleInterval is the time after which free parts that have not been needed are given back to the runtime.
+	idleInterval = 10 * time.Second
+)
+
+// Memory counts the memory of bodies and responses. It is safe for concurrent use.
+type Memory struct {
+	held    metrics.Gauge
+	refused metrics.Counter
+
+	mu      sync.Mutex
+	ledger  ledger
+	waiters int
+	// released is closed when memory is released.
+	released chan struct{}
+	// free are parts of payloads that have ended. They are used again, since the garbage collector would give large bodies
+	// back too late. lowestFree is the smallest number of them since checkedAt.
+	free       [][]byte
+	lowestFree int
+	checkedAt  time.Time
+}
+
+// Requester says on whose behalf a body is read.
+type Requester struct {
+	Priority admission.Priority
+	// IsKnown is set if Priority is known. Requests without a known priority are the least urgent.
+	IsKnown bool
+}
+
+// New returns a Memory with a limit. Its metrics are registered with r.
+func New(limit id.Bytes, r metrics.Registry) *Memory {
+	return &Memory{
+		ledger: newLedger(limit), released: make(chan struct{}),
+		held: metrics.NewRegisteredGauge("memory.held", r), refused: metrics.NewRegisteredCounter("memory.refused", r),
+	}
+}
+
+// holdBody counts memory for a body. It waits for memory for a short time, and reports whether there is enough.
+func (m *Memory) holdBody(ctx context.Context, size id.Bytes, from Requester) bool {
+	return m.holdWithin(ctx, func() bool {
+		tier := maxTier
+		if from.IsKnown {
+			tier = m.ledger.tier(time.Now(), from.Priority)
+		}
+		return m.ledger.holdBody(size, tier)
+	}, size, m.ledger.allowed(largeTier(0)))
+}
+
+// holdResponse counts memory for a response like holdBody, from the reservation of its attempt first.
+func (m *Memory) holdResponse(ctx context.Context, size id.Bytes, reservation *id.Bytes) bool {
+	return m.holdWithin(ctx, func() bool { return m.ledger.holdResponse(size, reservation) }, size, m.ledger.limit)
+}
+
+// holdWithin tries to hold memory of a size, again after each release for a short time, and reports whether it succeeded.
+func (m *Memory) holdWithin(ctx context.Context, hold func() bool, size, most id.Bytes) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var timeout *time.Timer
+	for !hold() {
+		if size > most || m.waiters >= maxWaiters {
+			m.refused.Inc(1)
+			return false
+		}
+		if timeout == nil {
+			timeout = time.NewTimer(waitTimeout)
+			defer timeout.Stop()
+		}
+		if !m.wait(ctx, timeout) {
+			m.refused.Inc(1)
+			return false
+		}
+	}
+	m.update()
+	return true
+}
+
+// wait waits until memory is released and reports whether it has been. The caller holds mu, which is released meanwhile.
+func (m *Memory) wait(ctx context.Context, timeout *time.Timer) bool {
+	released := m.released
+	m.waiters++
+	m.mu.Unlock()
+	defer func() {
+		m.mu.Lock()
+		m.waiters--
+	}()
+	select {
+	case <-released:
+		return true
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// update updates the metric, and drops free parts whose memory is needed otherwise. The caller holds mu.
+func (m *Memory) update() {
+	m.held.Update(int64(m.ledger.held))
+	room := max(m.ledger.limit-m.ledger.held-m.ledger.reserved, 0)
+	m.dropFree(len(m.free) - int(room/PartSize))
+}
+
+// dropFree drops n free parts. The caller holds mu.
+func (m *Memory) dropFree(n int) {
+	for range min(n, len(m.free)) {
+		m.popFree()
+	}
+}
+
+func (m *Memory) popFree() []byte {
+	last := len(m.free) - 1
+	part := m.free[last]
+	m.free[last], m.free = nil, m.free[:last]
+	m.lowestFree = min(m.lowestFree, last)
+	return part
+}
+
+// takePart returns an empty part, for which memory is held.
+func (m *Memory) takePart() []byte {
+	m.mu.Lock()
+	if len(m.free) > 0 {
+		defer m.mu.Unlock()
+		return m.popFree()
+	}
+	m.mu.Unlock()
+	return make([]byte, 0, PartSize)
+}
+
+// release ends the counting of memory, and takes back the full-size parts that used it.
+func (m *Memory) release(size id.Bytes, parts [][]byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	m.ledger.release(now, size)
+	for _, part := range parts {
+		if cap(part) == int(PartSize) {
+			m.free = append(m.free, part[:0])
+		}
+	}
+	if now.Sub(m.checkedAt) >= idleInterval {
+		m.dropFree(m.lowestFree)
+		m.lowestFree, m.checkedAt = len(m.free), now
+	}
+	m.update()
+	m.wake()
+}
+
+// wake makes those that wait try again. The caller holds mu.
+func (m *Memory) wake() {
+	if m.waiters > 0 {
+		close(m.released)
+		m.released = make(chan struct{})
+	}
+}
+
+// Reserve reserves memory for the response to a request that is about to be sent and for a copy of its body that sending
+// takes, and reports whether there is enough. EndReservation must follow.
+func (m *Memory) Reserve(route id.Route, priority admission.Priority, bodyCopy id.Bytes) (id.Bytes, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	size, ok := m.ledger.reserve(time.Now(), route, priority, bodyCopy)
+	if !ok {
+		m.refused.Inc(1)
+	}
+	m.update()
+	return size, ok
+}
+
+// EndReservation ends what is left of a reservation.
+func (m *Memory) EndReservation(size id.Bytes) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ledger.endReservation(size)
+	m.wake()
+}
+
+// ObserveResponse records the size of a route's response for later reservations.
+func (m *Memory) ObserveResponse(route id.Route, size id.Bytes) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ledger.observeResponse(route, size)
+}
+
+// ReturnAt returns when a request of a size for which there was no memory should return. It counts on the rate at which
+// memory was released lately, and on the requests that were told to return before.
+func (m *Memory) ReturnAt(size id.Bytes) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ledger.returnAt(time.Now(), size)
+}
