Count the bodies that the release-notes gateway reads into memory

The gateway streams large bodies, but reads up to 64 KiB of any body and response, and the whole of a claimed body (limits.body, up to 64 MiB) and of a stored response, into memory. Nothing bounded them together, and a buffer that doubles needs up to three times the body: the same cause as in internal/ingress. The digest of a claimed body made one more copy.

They now take memory from internal/memory before it is allocated, both copies while a buffer grows, up to limits.memory (256 MiB by default) together. A body for which there is none is refused with "queue", not run, and a time to return; a response is streamed instead. A claimed body whose length exceeds its limit is refused without being read.

Bodies of the operators' API (32 MiB, only with the operators' token) and answers that claims keep are not counted.

The tests of the settings check the new field's default and range too. The pages describe how memory is counted.

--- a/instance.go
+++ b/instance.go
@@ -95,7 +95,7 @@
 	}
 	i.gateway = gateway.New(gateway.Config{
 		Engine: i, Log: c.Log.WithPrefix("gateway"), Registry: c.Registry, MaxBody: c.MaxBody,
-		MaxClaimedBody: c.MaxClaimedBody, OpenTunnel: i.openTunnel,
+		MaxClaimedBody: c.MaxClaimedBody, MaxMemory: c.MaxMemory, OpenTunnel: i.openTunnel,
 	})
 	if err := i.listen(); err != nil {
 		i.close()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -131,6 +131,7 @@
 		FaultInjection: s.Testing,
 
 		MaxClaimedBody:  s.Limits.MaxClaimedBody,
+		MaxMemory:       s.Limits.MaxMemory,
 		MaxHeader:       s.Limits.MaxHeader,
 		QueueClassLimit: s.Limits.QueueClassLimit,
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -15,6 +15,7 @@
 
 	"bluebellhold/claim"
 	"bluebellhold/id"
+	"bluebellhold/internal/memory"
 	"bluebellhold/internal/steering"
 	"bluebellhold/retry"
 )
@@ -104,7 +105,7 @@
 	if a.bodyBuffered {
 		return
 	}
-	a.bodyStream = &streamedBody{exchange: a.exchange, prefix: a.body, remaining: a.gateway.maxBody}
+	a.bodyStream = &streamedBody{exchange: a.exchange, prefix: a.body.Bytes(), remaining: a.gateway.maxBody}
 	a.guard.stopBody = a.bodyStream.stop
 	// An upstream may respond before it has read the whole body.
 	_ = a.controller.EnableFullDuplex()
@@ -168,9 +169,9 @@
 	case a.bodyStream != nil:
 		request.Body = a.bodyStream
 		request.ContentLength = a.r.ContentLength
-	case len(a.body) > 0:
-		request.Body = io.NopCloser(bytes.NewReader(a.body))
-		request.ContentLength = int64(len(a.body))
+	case len(a.body.Bytes()) > 0:
+		request.Body = io.NopCloser(bytes.NewReader(a.body.Bytes()))
+		request.ContentLength = int64(len(a.body.Bytes()))
 	case a.dispatch.StoreResponse:
 		request.Body = io.NopCloser(bytes.NewReader(nil))
 	}
@@ -219,7 +220,8 @@
 	return true
 }
 
-// readBodyPrefix reads as much of the response body as fits into the buffer and reports whether that is all of it.
+// readBodyPrefix reads as much of the response body as fits into the buffer and reports whether that is all of it. Without
+// memory for more, the rest is streamed.
 func (a *attempt) readBodyPrefix(response *http.Response) (prefix []byte, complete bool, err error) {
 	limit := MaxBufferedBody
 	if a.dispatch.StoreResponse {
@@ -228,15 +230,19 @@
 	if response.ContentLength > int64(limit) {
 		return nil, false, nil
 	}
-	var buffer bytes.Buffer
-	if response.ContentLength > 0 {
-		buffer.Grow(int(response.ContentLength) + bytes.MinRead)
+	a.response.Release()
+	length := id.Bytes(response.ContentLength)
+	if response.Body == http.NoBody {
+		length = 0
+	}
+	complete, err = a.response.Fill(a.ctx, response.Body, length, limit+1, memory.Requester{IsKnown: true})
+	if errors.As(err, new(*memory.ShortError)) {
+		return a.response.Bytes(), false, nil
 	}
-	n, err := buffer.ReadFrom(io.LimitReader(response.Body, int64(limit)+1))
 	if err != nil {
 		return nil, false, err
 	}
-	return buffer.Bytes(), n <= int64(limit), nil
+	return a.response.Bytes(), complete && id.Bytes(len(a.response.Bytes())) <= limit, nil
 }
 
 func (a *attempt) storedResponse(response *http.Response, body []byte, truncated bool) claim.Response {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"bluebellhold/id"
+	"bluebellhold/internal/memory"
 	"bluebellhold/internal/steering"
 	"bluebellhold/internal/tcp"
 	"bluebellhold/internal/uplink"
@@ -28,6 +29,7 @@
 	// MaxStoredResponse limits the body of a response that is stored for replay.
 	MaxStoredResponse     id.Bytes = 1 << 20
 	DefaultMaxBody        id.Bytes = 1 << 30
+	DefaultMaxMemory      id.Bytes = 256 << 20
 	defaultRequestTimeout          = 30 * time.Second
 	maxRequestTimeout              = 10 * time.Minute
 	DefaultStallTimeout            = 10 * time.Second
@@ -64,6 +66,9 @@
 	MaxBody id.Bytes
 	// MaxClaimedBody limits the body of a non-idempotent request, by default DefaultMaxClaimedBody. MaxBody applies too.
 	MaxClaimedBody id.Bytes
+	// MaxMemory limits the bodies and responses that are in memory at the same time, by default DefaultMaxMemory. Requests
+	// may use five eighths of it.
+	MaxMemory id.Bytes
 	// StallTimeout limits how long a caller may send no byte of its body or read no byte of the response, by default
 	// DefaultStallTimeout.
 	StallTimeout time.Duration
@@ -76,6 +81,7 @@
 	registry           metrics.Registry
 	maxBody            id.Bytes
 	maxClaimedBody     id.Bytes
+	memory             *memory.Memory
 	router             *mux.Router
 	transport          *http.Transport
 	tunnels            tunnelTransports
@@ -94,6 +100,9 @@
 	if c.MaxClaimedBody == 0 {
 		c.MaxClaimedBody = DefaultMaxClaimedBody
 	}
+	if c.MaxMemory == 0 {
+		c.MaxMemory = DefaultMaxMemory
+	}
 	if c.Log == nil {
 		c.Log = log.New(io.Discard)
 	}
@@ -109,6 +118,7 @@
 		registry:       c.Registry,
 		maxBody:        c.MaxBody,
 		maxClaimedBody: min(c.MaxClaimedBody, c.MaxBody),
+		memory:         memory.New(c.MaxMemory, c.Registry),
 		transport:      newTransport(dialDirect),
 		tunnels:        tunnelTransports{open: c.OpenTunnel, byInstance: make(map[id.Instance]*http.Transport)},
 		latency:        latencies{registry: c.Registry},
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -1,7 +1,8 @@
 package gateway
 
 import (
-	"bytes"
+	"crypto/sha256"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -10,6 +11,7 @@
 	"github.com/gorilla/mux"
 
 	"bluebellhold/id"
+	"bluebellhold/internal/memory"
 	"bluebellhold/internal/steering"
 )
 
@@ -31,8 +33,12 @@
 	deadline    time.Time
 	startedAt   time.Time
 	// body is the part of the request body that was read in advance: all of it if bodyBuffered is set, else a prefix.
-	body         []byte
+	body         memory.Buffer
 	bodyBuffered bool
+	// response is the part of the response that is in memory.
+	response memory.Buffer
+	// memoryShort is set if there was no memory for the body.
+	memoryShort bool
 	// bodyAtEOF is set once the body has been read to its end.
 	bodyAtEOF bool
 	// bodyFailed is set if an attempt failed because of the caller's body.
@@ -46,6 +52,7 @@
 	x := g.newExchange(w, r)
 	defer x.recoverPanic()
 	defer x.drainBody()
+	defer x.releaseMemory()
 	refusal := x.prepare()
 	if refusal != nil {
 		x.refuse(*refusal)
@@ -71,9 +78,17 @@
 		deadline:    now.Add(requestTimeout(r.Header)),
 		startedAt:   now,
 		effects:     make(chan steering.RequestEffect, maxEffectsPerRequest),
+		body:        g.memory.NewBuffer(),
+		response:    g.memory.NewBuffer(),
 	}
 }
 
+// releaseMemory ends the counting of the request's body and response.
+func (x *exchange) releaseMemory() {
+	x.body.Release()
+	x.response.Release()
+}
+
 // requestTimeout returns the caller's timeout, which the header gives in milliseconds.
 func requestTimeout(h http.Header) time.Duration {
 	ms, err := strconv.ParseInt(h.Get(headerRequestTimeout), 10, 64)
@@ -109,7 +124,7 @@
 }
 
 // readBody reads the body into memory up to the limit and reports whether the read succeeded. A body within the limit
-// is fully buffered afterwards; of a larger one only a prefix is in memory.
+// is fully buffered afterwards; of a larger one only a prefix is in memory. It fails if there is no memory.
 func (x *exchange) readBody(limit id.Bytes) bool {
 	if x.bodyBuffered {
 		return true
@@ -118,13 +133,16 @@
 		x.bodyBuffered, x.bodyAtEOF = true, true
 		return true
 	}
-	body := bytes.NewBuffer(x.body)
-	_, err := body.ReadFrom(io.LimitReader((*stallTimeoutReader)(x), int64(limit)+1-int64(len(x.body))))
+	if id.Bytes(x.r.ContentLength) > limit {
+		return true
+	}
+	// One byte more than the limit tells a body that is larger.
+	_, err := x.body.Fill(x.r.Context(), (*stallTimeoutReader)(x), id.Bytes(x.r.ContentLength), limit+1, memory.Requester{})
 	if err != nil {
+		x.memoryShort = errors.As(err, new(*memory.ShortError))
 		return false
 	}
-	x.body = body.Bytes()
-	x.bodyBuffered = id.Bytes(len(x.body)) <= limit
+	x.bodyBuffered = id.Bytes(len(x.body.Bytes())) <= limit
 	x.bodyAtEOF = x.bodyBuffered
 	_ = x.controller.SetReadDeadline(time.Time{})
 	return true
@@ -154,12 +172,12 @@
 		Path:           x.decodedPath,
 		Query:          x.r.URL.RawQuery,
 		IdempotencyKey: x.r.Header.Get(headerIdempotencyKey),
-		Size:           max(id.Bytes(x.r.ContentLength), id.Bytes(len(x.body))),
+		Size:           max(id.Bytes(x.r.ContentLength), id.Bytes(len(x.body.Bytes()))),
 		Deadline:       x.deadline,
 		PeerRetry:      x.r.Header.Get(headerAttempt) != "",
 	}
-	if x.bodyBuffered && len(x.body) > 0 {
-		e.ContentDigest = id.DigestOf(x.body)
+	if x.bodyBuffered && len(x.body.Bytes()) > 0 {
+		e.ContentDigest = id.DigestOf(x.body.Bytes())
 	}
 	if x.secret != "" {
 		e.HasKey = true
@@ -203,11 +221,15 @@
 	return false
 }
 
-// refuse responds with a refusal. It replaces the code if an attempt failed because of the caller's body, which the
-// reducer cannot tell from other cancellations.
+// refuse responds with a refusal. It replaces the code if an attempt failed because of the caller's body, or if there was no
+// memory for the body, which the reducer cannot tell from other cancellations and bodies.
 func (x *exchange) refuse(r steering.Refusal) {
-	if x.bodyFailed {
+	switch {
+	case x.bodyFailed:
 		r.Code, r.RetryAt = steering.CodeInvalidBody, time.Time{}
+	case x.memoryShort && r.Outcome == steering.NotRun:
+		size := max(id.Bytes(x.r.ContentLength), id.Bytes(len(x.body.Bytes())))
+		r.Code, r.RetryAt = steering.CodeQueueFull, x.gateway.memory.ReturnAt(size)
 	}
 	x.responseStarted = true
 	x.setResponseDeadline()
@@ -259,10 +281,11 @@
 // requestDigest returns the digest of the method, the path, the query and the body. The parts before the body are each
 // terminated by a newline, which cannot occur in them.
 func (x *exchange) requestDigest() id.Digest {
-	var content bytes.Buffer
-	content.WriteString(x.r.Method + "\n" + x.escapedPath + "\n" + x.r.URL.RawQuery + "\n")
-	content.Write(x.body)
-	return id.DigestOf(content.Bytes())
+	h := sha256.New()
+	// Writing to a hash never fails.
+	_, _ = io.WriteString(h, x.r.Method+"\n"+x.escapedPath+"\n"+x.r.URL.RawQuery+"\n")
+	_, _ = h.Write(x.body.Bytes())
+	return id.Digest(h.Sum(nil))
 }
 
 func (x *exchange) replay(e steering.Replay) {
--- a/internal/settings/doc.go
+++ b/internal/settings/doc.go
@@ -15,7 +15,8 @@
 //	tls         optional: caller {cert, key}, operator {cert, key}, peer {cert, key, ca}; default: no TLS
 //	log         optional: debug, info, warn or error; default: info
 //	limits      optional: body, the maximum size in bytes of the body of a non-idempotent request, which is held in
-//	            memory (default 1048576); header, the maximum size of a request header in bytes (default 65536); queue,
+//	            memory (default 1048576); memory, the maximum size of all bodies and responses in memory (default 268435456);
+//	            header, the maximum size of a request header in bytes (default 65536); queue,
 //	            the maximum number of queued requests of one class of a service (default 1024)
 //	testing     optional: enables the hooks for fault injection and addresses with port 0; default: false
 //
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -29,7 +29,7 @@
 	c := checker{dir: filepath.Dir(path)}
 	s := Settings{
 		LogLevel: DefaultLogLevel,
-		Limits:   Limits{MaxClaimedBody: DefaultMaxClaimedBody, MaxHeader: DefaultMaxHeader, QueueClassLimit: DefaultQueueClassLimit},
+		Limits:   Limits{MaxClaimedBody: DefaultMaxClaimedBody, MaxMemory: DefaultMaxMemory, MaxHeader: DefaultMaxHeader, QueueClassLimit: DefaultQueueClassLimit},
 	}
 	strict.Decode(body, &s, c.Report)
 	c.checkIdentity(&s)
@@ -88,6 +88,7 @@
 func (c *checker) checkOptions(s *Settings) {
 	c.checkLogLevel(s.LogLevel)
 	c.checkRange("limits.body", int64(s.Limits.MaxClaimedBody), 1<<10, 64<<20)
+	c.checkRange("limits.memory", int64(s.Limits.MaxMemory), 1<<20, 1<<40)
 	c.checkRange("limits.header", int64(s.Limits.MaxHeader), 1<<10, 1<<20)
 	c.checkRange("limits.queue", int64(s.Limits.QueueClassLimit), 1, 1_000_000)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 const (
 	DefaultLogLevel                 = "info"
 	DefaultMaxClaimedBody  id.Bytes = 1 << 20
+	DefaultMaxMemory       id.Bytes = 256 << 20
 	DefaultMaxHeader       id.Bytes = 64 << 10
 	DefaultQueueClassLimit          = 1024
 )
@@ -59,10 +60,11 @@
 	CAFile   string `json:"ca"`
 }
 
-// Limits bounds the requests that one instance holds in memory. MaxClaimedBody is for non-idempotent requests, and
-// QueueClassLimit for the queued requests of one class of a service.
+// Limits bounds the requests that one instance holds in memory. MaxClaimedBody is for non-idempotent requests,
+// MaxMemory for all bodies and responses together, and QueueClassLimit for the queued requests of one class of a service.
 type Limits struct {
 	MaxClaimedBody  id.Bytes `json:"body,omitempty"`
+	MaxMemory       id.Bytes `json:"memory,omitempty"`
 	MaxHeader       id.Bytes `json:"header,omitempty"`
 	QueueClassLimit int      `json:"queue,omitempty"`
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -32,7 +32,7 @@
 func TestLoadSetsDefaultsAndRedactsSecrets(t *testing.T) {
 	s, err := loadSettings(t, validSettings)
 	require.NoError(t, err)
-	require.Equal(t, settings.Limits{MaxClaimedBody: settings.DefaultMaxClaimedBody, MaxHeader: settings.DefaultMaxHeader, QueueClassLimit: 7}, s.Limits)
+	require.Equal(t, settings.Limits{MaxClaimedBody: settings.DefaultMaxClaimedBody, MaxMemory: settings.DefaultMaxMemory, MaxHeader: settings.DefaultMaxHeader, QueueClassLimit: 7}, s.Limits)
 	require.Equal(t, "the-peers-own-secret", string(s.PeerSecret.Bytes()))
 	require.True(t, s.OperatorToken.Equal([]byte("the-operators-token")))
 	require.False(t, s.OperatorToken.Equal(nil))
@@ -60,7 +60,7 @@
 		{`"secret":"secret"`, `"secret":"none"`, "secret"},
 		{`"token":"token"`, `"token":"short"`, "token"},
 		{`"warn"`, `"loud"`, "log"},
-		{`"queue":7`, `"queue":0,"body":-1,"colour":1`, "limits.body limits.colour limits.queue"},
+		{`"queue":7`, `"queue":0,"body":-1,"memory":7,"colour":1`, "limits.body limits.colour limits.memory limits.queue"},
 		{`"log"`, `"tls":{"caller":{"cert":"token","key":"token"},"peer":{"cert":"none"}},"log"`, "tls.caller tls.peer.ca tls.peer.cert tls.peer.key"},
 		{`"log"`, `"testing":1,"log"`, "testing"},
 		{`"log"`, `"Log":"x","log"`, "Log"},
