--- a/internal/drain/review_test.go
+++ b/internal/drain/review_test.go
@@ -45,7 +45,8 @@
 		settings.ServerName = "example.com"
 		l = tls.NewListener(l, certificates.TLS)
 	}
-	server := &http.Server{ConnState: connections.Track, IdleTimeout: 5 * time.Second,
+	server := &http.Server{
+		ConnState: connections.Track, IdleTimeout: 5 * time.Second,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if _, err := io.Copy(io.Discard, r.Body); err != nil {
 				return
@@ -56,7 +57,8 @@
 			w.Header().Set("Id", r.URL.Path)
 			time.Sleep(time.Duration(rand.IntN(300)) * time.Microsecond)
 			_, _ = io.WriteString(w, "answer")
-		})}
+		}),
+	}
 	go func() { _ = server.Serve(connections.Listen(l)) }()
 	defer server.Close()
 	done := make(chan struct{})
