Reset the connection of an HTTP/1.0 caller whose response breaks

Since connections are wrapped by package drain, the assertion of their type failed and the reset was skipped. tcp.Abort unwraps them.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,10 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"crypto/tls"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -17,6 +15,7 @@
 	"bluebellhold/id"
 	"bluebellhold/internal/memory"
 	"bluebellhold/internal/steering"
+	"bluebellhold/internal/tcp"
 	"bluebellhold/retry"
 )
 
@@ -286,13 +285,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if tlsConn, ok := conn.(*tls.Conn); ok {
-		conn = tlsConn.NetConn()
-	}
-	if tcpConn, ok := conn.(*net.TCPConn); ok {
-		_ = tcpConn.SetLinger(0)
-	}
-	_ = conn.Close()
+	tcp.Abort(conn)
 	panic(http.ErrAbortHandler)
 }
 
