Do not abandon a slow attempt in a stop that has no time for another one

Found in the review: a slow attempt was abandoned in favour of another upstream, and the repeat was then refused, since it would have outlived the stop. The caller got 502 for a request at which an upstream was working. TestStopDoesNotAbandonAttemptsThatItWillNotRepeat failed before (abandoned after 250 ms with 300 ms left).

--- a/internal/entry/slow.go
+++ b/internal/entry/slow.go
@@ -85,7 +85,7 @@
 	req := r.placementRequest
 	req.Exclude = append(slices.Clone(req.Exclude), r.choice.Upstream)
 	choice, ok := r.service.chooser.Choose(s.now, req)
-	if !ok || !choice.HasCapacity {
+	if !ok || !choice.HasCapacity || s.outlivesStop(r, choice.EstimatedLatency) {
 		return false
 	}
 	end := s.now.Add(choice.EstimatedLatency)
