End busy connections of a server that is shut down with their next response

Responses say Connection: close now. The setting of http.Server closes connections by the states of net/http and is not used. The daemon also listens for signals before callers can connect, in both ways of running.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -86,6 +86,9 @@
 		_, err := fmt.Fprintln(w, "settings are valid")
 		return err
 	}
+	// Callers can connect once the instance has been created.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	instance, err := bluebellhold.New(config)
 	if err != nil {
 		return &RunError{Cause: err}
@@ -94,8 +97,6 @@
 	stdlog.SetOutput(io.Discard)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go handleSignals(signals, instance.Shutdown, func() {
 		config.Log.Warn("instance: interrupted again, exiting immediately")
 		cancel()
--- a/server.go
+++ b/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,6 +25,7 @@
 	listener    net.Listener
 	httpServer  *http.Server
 	connections *drain.Connections
+	isClosing   atomic.Bool
 }
 
 // closeQuietInterval is how often a server that is shut down closes the connections on which nothing has arrived.
@@ -37,21 +39,24 @@
 	if err != nil {
 		return nil, &ListenError{Address: address, Cause: err}
 	}
-	s := &server{listener: listener, httpServer: &http.Server{
-		Handler:        handler,
+	s := &server{httpServer: &http.Server{
 		IdleTimeout:    idleTimeout,
 		MaxHeaderBytes: int(maxHeader),
-	}, connections: drain.New(drain.Config{HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout})}
-	if tlsConfig != nil {
-		s.listener = tls.NewListener(listener, tlsConfig)
-	}
+	}, connections: drain.New(drain.Config{HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, TLS: tlsConfig})}
+	s.listener = s.connections.Listen(listener)
+	s.httpServer.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isClosing.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
 	s.httpServer.ConnState = s.connections.Track
 	return s, nil
 }
 
 func (s *server) start(goroutines *sync.WaitGroup) {
 	goroutines.Go(func() {
-		err := s.httpServer.Serve(s.connections.Listen(s.listener))
+		err := s.httpServer.Serve(s.listener)
 		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			panic("bluebellhold: the HTTP server failed: " + err.Error())
 		}
@@ -64,6 +69,8 @@
 	if s == nil {
 		return
 	}
+	// http.Server.SetKeepAlivesEnabled would close connections by the states of net/http; see package drain.
+	s.isClosing.Store(true)
 	_ = s.listener.Close()
 	for ctx.Err() == nil && s.connections.CloseQuiet().Total() > 0 {
 		select {
