Linger after the last response on a connection, and serve what the kernel has accepted

Connections shut down their sending side and wait up to 1 s for the caller now.

TestStopAnswersCallersThatHaveSentTheirNextRequest failed before, and so do TestConnectionsInTheQueueAreAcceptedWhenTheListenerCloses and TestConnectionsLingerAfterTheLastResponse.

--- a/internal/drain/connections.go
+++ b/internal/drain/connections.go
@@ -1,6 +1,8 @@
 package drain
 
 import (
+	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -16,8 +18,14 @@
 	HeadTimeout time.Duration
 	// IdleTimeout is how long a connection may wait for a request. That of the server should be the same.
 	IdleTimeout time.Duration
+	// TLS wraps the connections in TLS unless it is nil.
+	TLS *tls.Config
 }
 
+// lingerTimeout is how long a connection that is closed after a response waits for its caller to close it too. The kernel
+// resets a connection that is closed with unread input, and the caller may then lose the end of the response.
+const lingerTimeout = time.Second
+
 // Connections are the callers' connections of an http.Server; they are safe for concurrent use.
 type Connections struct {
 	config Config
@@ -42,6 +50,9 @@
 func (c Counts) Total() int { return c.Quiet + c.Partial + c.Active }
 
 // Listen returns a listener that accepts the connections of l. The server must serve it and use Track as its ConnState.
+//
+// When it is closed, the connections that the kernel has accepted are still returned by Accept: their callers may have sent
+// requests.
 func (c *Connections) Listen(l net.Listener) net.Listener {
 	return &listener{Listener: l, connections: c}
 }
@@ -52,13 +63,13 @@
 	if !ok {
 		return
 	}
-	if state == http.StateClosed || state == http.StateHijacked {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		delete(c.open, tracked)
+	if state != http.StateClosed && state != http.StateHijacked {
+		tracked.setState(state)
 		return
 	}
-	tracked.setState(state)
+	if !tracked.isClosing() {
+		c.remove(tracked)
+	}
 }
 
 // CloseQuiet closes the connections on which nothing of a request has arrived, and counts those that are left.
@@ -67,8 +78,7 @@
 	defer c.mu.Unlock()
 	var left Counts
 	for conn := range c.open {
-		conn.closeQuiet(&left)
-		if conn.isClosed {
+		if conn.closeQuiet(&left) {
 			delete(c.open, conn)
 		}
 	}
@@ -81,23 +91,10 @@
 	c.open[conn] = struct{}{}
 }
 
-type listener struct {
-	net.Listener
-	connections *Connections
-}
-
-// Accept waits for the next connection.
-func (l *listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	tracked := &connection{Conn: conn, headTimeout: l.connections.config.HeadTimeout}
-	if err := conn.SetReadDeadline(time.Now().Add(l.connections.config.IdleTimeout)); err != nil {
-		_ = conn.Close()
-	}
-	l.connections.add(tracked)
-	return tracked, nil
+func (c *Connections) remove(conn *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, conn)
 }
 
 // connection is a caller's connection.
@@ -110,7 +107,9 @@
 	isActive bool
 	// isReading is set while the server waits for bytes, and hasArrived once some have arrived since the last response.
 	isReading, hasArrived bool
-	isClosed              bool
+	// isClosed is set once the connection has been closed, and isLingering while it waits for its caller to close it.
+	isClosed, isLingering bool
+	connections           *Connections
 }
 
 // NetConn returns the connection below.
@@ -134,7 +133,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isReading = false
-	if c.isClosed {
+	if c.isClosed || c.isLingering {
 		return 0, net.ErrClosed
 	}
 	if n > 0 && !c.hasArrived && !c.isActive {
@@ -156,6 +155,38 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// Close closes the connection. One with a request in flight has got its response, and is closed once the caller has read it.
+func (c *connection) Close() error {
+	c.mu.Lock()
+	isFirst := !c.isClosed && !c.isLingering
+	c.isLingering = isFirst && c.isActive
+	c.isClosed = !c.isLingering
+	isLingering := c.isLingering
+	c.mu.Unlock()
+	if !isLingering {
+		return c.Conn.Close()
+	}
+	go c.linger()
+	return nil
+}
+
+// linger sends the end of the response, and closes the connection when the caller does or lingerTimeout has passed.
+func (c *connection) linger() {
+	// Errors mean that the connection has ended.
+	if c.CloseWrite() == nil && c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
+		_, _ = io.Copy(io.Discard, c.Conn)
+	}
+	_ = c.Conn.Close()
+	c.connections.remove(c)
+}
+
+// isClosing reports whether the connection lingers.
+func (c *connection) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isLingering
+}
+
 func (c *connection) setState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -169,10 +200,11 @@
 	}
 }
 
-// closeQuiet closes the connection if nothing of a request has arrived, and counts it otherwise.
+// closeQuiet closes the connection if nothing of a request has arrived, and counts it otherwise. It reports whether the
+// connection is closed.
 //
 // The server must be waiting for bytes: it may hold some that it read together with the last request.
-func (c *connection) closeQuiet(left *Counts) {
+func (c *connection) closeQuiet(left *Counts) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -186,4 +218,5 @@
 		c.isClosed = true
 		_ = c.Conn.Close()
 	}
+	return c.isClosed
 }
--- a/internal/drain/connections_test.go
+++ b/internal/drain/connections_test.go
@@ -221,13 +221,15 @@
 
 // Guards against a stop that keeps TLS connections open because the handshake counts as a part of a request.
 func TestTLSConnectionsWithoutARequestAreClosed(t *testing.T) {
-	s := &server{T: t, Connections: drain.New(drain.Config{HeadTimeout: headTimeout, IdleTimeout: idleTimeout})}
 	certificates := httptest.NewUnstartedServer(nil)
 	certificates.StartTLS()
 	defer certificates.Close()
+	s := &server{T: t, Connections: drain.New(drain.Config{
+		HeadTimeout: headTimeout, IdleTimeout: idleTimeout, TLS: certificates.TLS,
+	})}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s.serve(tls.NewListener(l, certificates.TLS), nil)
+	s.serve(l, nil)
 	settings := certificates.Client().Transport.(*http.Transport).TLSClientConfig.Clone()
 	settings.ServerName = "example.com"
 	var clients []*client
@@ -287,3 +289,44 @@
 	}
 	require.Zero(t, s.handled.Load())
 }
+
+// Guards against a listener whose close resets the connections that the kernel has accepted and the server has not.
+func TestConnectionsInTheQueueAreAcceptedWhenTheListenerCloses(t *testing.T) {
+	connections := drain.New(drain.Config{HeadTimeout: headTimeout, IdleTimeout: idleTimeout})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	tracked := connections.Listen(l)
+	s := &server{T: t, Connections: connections, address: l.Addr().String()}
+	var clients []*client
+	for range 10 {
+		c := s.dial()
+		_, err := io.WriteString(c, request)
+		require.NoError(t, err)
+		clients = append(clients, c)
+	}
+	require.NoError(t, tracked.Close())
+	httpServer := &http.Server{ConnState: s.Track, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "answer")
+	})}
+	t.Cleanup(func() { httpServer.Close() })
+	require.ErrorIs(t, httpServer.Serve(tracked), net.ErrClosed)
+	for _, c := range clients {
+		require.NoError(t, c.answer())
+	}
+	s.requireLeft(drain.Counts{})
+}
+
+// Guards against connections that linger for ever after their last response, or are not counted while they do.
+func TestConnectionsLingerAfterTheLastResponse(t *testing.T) {
+	s := newServer(t, nil)
+	last := strings.Replace(request, "Host", "Connection: close\r\nHost", 1)
+	c := s.dial()
+	_, err := io.WriteString(c, last+request)
+	require.NoError(t, err)
+	require.NoError(t, c.answer())
+	_, err = c.reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.Equal(t, drain.Counts{Active: 1}, s.CloseQuiet())
+	s.requireLeft(drain.Counts{})
+	require.EqualValues(t, 1, s.handled.Load())
+}
