Never block on the log, in both ways of running

A process whose output was closed ended with SIGPIPE, and one with unread output did not end at SIGTERM. Also seen in tests of internal/ingress: "send on closed channel" in handlers of requests that are cut off at the end of a stop.

Cause: one logger wrote synchronously and under its lock. requestLog and the queue of the root package kept some lines away from it, but not those of the followers of the store, of effects that are applied under Instance.mu, of sessions and of the operators' API. requestLog.close closed a channel that handlers still sent to.

Ruled out: queues for more of the parts, since each line that is missed blocks again; write deadlines, which pipes inherited in blocking mode don't support.

Now the logger's output is a logwriter.Writer, which the configurations of both ways of running take in place of a logger, so that none that blocks can be passed. The queues of requestLog and of the root package are gone; the limits of lines about requests stay, and such lines leave half of the queue to others. The daemon ignores SIGPIPE, waits a bounded time for the last lines of a stop, and sends errors of the callers' HTTP servers to the log. The Go runtime writes fatal errors to standard error with all goroutines stopped, and the daemon the error that ends it: if that is a pipe, it is opened once more without blocking writes.

The harness of internal/ingress closes the log before it reports a stop, since lines are written a little later than before.

--- a/config.go
+++ b/config.go
@@ -4,11 +4,11 @@
 	"crypto/tls"
 	"strings"
 
-	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
 
 	"bluebellhold/id"
 	"bluebellhold/internal/peer"
+	"bluebellhold/logwriter"
 	"bluebellhold/store"
 )
 
@@ -28,7 +28,7 @@
 	Objects   store.Objects
 	Directory store.Directory
 	// Log receives the log; nil discards it.
-	Log *log.Logger
+	Log *logwriter.Writer
 	// Registry receives the metrics; nil means a private registry.
 	Registry metrics.Registry
 	// MaxBody limits the body of a request; zero means 1 GiB.
--- a/execute.go
+++ b/execute.go
@@ -31,11 +31,7 @@
 			delete(i.proposers, e.ID)
 		}
 	case steering.Log:
-		select {
-		case i.logQueue <- e:
-		default:
-			// The queue is full because the log is slow; the entry is dropped, because the instance must not block.
-		}
+		i.log.Info(e.Component+": "+e.Message, e.Fields...)
 	case steering.DrainCallerConnections:
 		i.gateway.DisableKeepAlives()
 	case steering.CloseCallerConnections:
--- a/instance.go
+++ b/instance.go
@@ -18,6 +18,7 @@
 	"bluebellhold/internal/settings"
 	"bluebellhold/internal/steering"
 	"bluebellhold/internal/wire"
+	"bluebellhold/logwriter"
 )
 
 const (
@@ -29,7 +30,6 @@
 	shutdownTimeout   = 30 * time.Second
 	// callerCloseTimeout exceeds the longest deadline that a caller can set, so that a planned stop aborts no request.
 	callerCloseTimeout = 11 * time.Minute
-	logQueueLength     = 1024
 )
 
 // Instance accepts and forwards the requests of callers. It is safe for concurrent use.
@@ -51,7 +51,6 @@
 	probeClient    *http.Client
 	callerServer   *server
 	operatorServer *server
-	logQueue       chan steering.Log
 	stopped        chan struct{}
 	blockedPeers   blockedPeers
 	ctx            context.Context
@@ -65,7 +64,7 @@
 		return nil, err
 	}
 	if c.Log == nil {
-		c.Log = log.New(io.Discard)
+		c.Log = logwriter.New(logwriter.Config{Output: io.Discard})
 	}
 	if c.Registry == nil {
 		c.Registry = metrics.NewRegistry()
@@ -79,7 +78,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{
 		config:   c,
-		log:      c.Log,
+		log:      c.Log.Logger(),
 		registry: c.Registry,
 		state: steering.New(steering.Config{
 			Self: c.Self, Incarnation: c.Incarnation, Seed: uint64(c.Incarnation), QueueClassLimit: c.QueueClassLimit,
@@ -88,13 +87,13 @@
 		proposers:   make(map[steering.ProposalID]chan<- steering.Reply),
 		probeClient: &http.Client{Timeout: probeTimeout},
 		metrics:     newInstanceMetrics(c.Registry),
-		logQueue:    make(chan steering.Log, logQueueLength),
 		stopped:     make(chan struct{}),
 		ctx:         ctx,
 		cancel:      cancel,
 	}
+	metrics.NewRegisteredFunctionalGauge("log.dropped", c.Registry, func() int64 { return int64(c.Log.Dropped()) })
 	i.gateway = gateway.New(gateway.Config{
-		Engine: i, Log: c.Log.WithPrefix("gateway"), Registry: c.Registry, MaxBody: c.MaxBody,
+		Engine: i, Log: i.log.WithPrefix("gateway"), Registry: c.Registry, MaxBody: c.MaxBody,
 		MaxClaimedBody: c.MaxClaimedBody, OpenTunnel: i.openTunnel,
 	})
 	if err := i.listen(); err != nil {
@@ -136,7 +135,6 @@
 // Run serves until a planned stop has finished, and then returns nil, or until ctx is done, and then returns its error.
 func (i *Instance) Run(ctx context.Context) error {
 	defer i.close()
-	i.goroutines.Go(i.writeLog)
 	i.callerServer.start(&i.goroutines)
 	i.operatorServer.start(&i.goroutines)
 	i.log.Info("instance: ready", "instance", i.config.Self.Instance, "callers", i.config.Self.Caller,
@@ -221,15 +219,3 @@
 func (i *Instance) receive(from id.Instance, m *wire.Envelope) {
 	i.Post(steering.MessageReceived{From: from, Message: m})
 }
-
-// writeLog writes the reducer's log entries to the log, without holding the mutex, because a log can block.
-func (i *Instance) writeLog() {
-	for {
-		select {
-		case entry := <-i.logQueue:
-			i.log.Info(entry.Component+": "+entry.Message, entry.Fields...)
-		case <-i.ctx.Done():
-			return
-		}
-	}
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"bluebellhold"
 	_ "bluebellhold/internal/hangup" // the platform may send SIGHUP at any time
 	"bluebellhold/internal/settings"
+	"bluebellhold/logwriter"
 	"bluebellhold/store"
 )
 
@@ -27,9 +28,21 @@
 	ExitUsage   = 2
 )
 
+// lastLinesTimeout is how long the end of a process without a grace period waits for the output to take the last lines.
+const lastLinesTimeout = time.Second
+
+// outputs are where the daemon writes to: messages are what the command line prints, such as the error that ends it.
+type outputs struct{ messages, log io.Writer }
+
 // Main runs the daemon with the arguments and returns its exit status. Errors and the log go to w; with --entry the log
 // goes to standard output.
 func Main(arguments []string, w io.Writer) int {
+	// Otherwise a write to standard output or standard error ends the process once nobody can read it.
+	signal.Ignore(syscall.SIGPIPE)
+	to := outputs{messages: w, log: w}
+	if w == io.Writer(os.Stderr) {
+		to.log = unblockStandardError()
+	}
 	command := &cli.Command{
 		Name:  "bluebellholdd",
 		Usage: "run one entry instance",
@@ -51,9 +64,10 @@
 				return &UsageError{Text: "unknown argument " + c.Args().First()}
 			}
 			if c.Bool("entry") {
-				return runEntry(ctx, c.String("settings"), c.Bool("check"), w)
+				to.log = os.Stdout
+				return runEntry(ctx, c.String("settings"), c.Bool("check"), to)
 			}
-			return run(ctx, c.String("settings"), c.Bool("check"), w)
+			return run(ctx, c.String("settings"), c.Bool("check"), to)
 		},
 	}
 	err := command.Run(context.Background(), arguments)
@@ -73,34 +87,46 @@
 }
 
 // run checks the settings and, unless checkOnly is set, serves until a planned stop is complete.
-func run(ctx context.Context, path string, checkOnly bool, w io.Writer) error {
+func run(ctx context.Context, path string, checkOnly bool, to outputs) error {
 	s, err := settings.Load(path)
 	if err != nil {
 		return err
 	}
-	config, err := instanceConfig(s, w)
+	config, err := instanceConfig(s)
+	if err != nil {
+		return err
+	}
+	level, err := log.ParseLevel(s.LogLevel)
 	if err != nil {
 		return err
 	}
 	if checkOnly {
-		_, err := fmt.Fprintln(w, "settings are valid")
+		_, err := fmt.Fprintln(to.messages, "settings are valid")
 		return err
 	}
+	config.Log = logwriter.New(logwriter.Config{
+		Output:  to.log,
+		Options: log.Options{Level: level, ReportTimestamp: true, TimeFormat: time.RFC3339Nano},
+	})
+	defer func() { config.Log.Close(time.Now().Add(lastLinesTimeout)) }()
+	discardStandardLog()
 	instance, err := bluebellhold.New(config)
 	if err != nil {
 		return &RunError{Cause: err}
 	}
-	// net/http logs unsolicited bytes from an upstream, which may be part of a response to an organisation.
-	stdlog.SetOutput(io.Discard)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go shutdownOnSignal(cancel, instance, config.Log)
+	go shutdownOnSignal(cancel, instance, config.Log.Logger())
 	if err := instance.Run(ctx); err != nil {
 		return &RunError{Cause: err}
 	}
 	return nil
 }
 
+// discardStandardLog discards the lines of package log: net/http logs unsolicited bytes from an upstream or the store,
+// which may be part of a response to an organisation or of a secret.
+func discardStandardLog() { stdlog.SetOutput(io.Discard) }
+
 func shutdownOnSignal(cancel context.CancelFunc, instance *bluebellhold.Instance, logger *log.Logger) {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -111,11 +137,7 @@
 	cancel()
 }
 
-func instanceConfig(s settings.Settings, w io.Writer) (bluebellhold.Config, error) {
-	level, err := log.ParseLevel(s.LogLevel)
-	if err != nil {
-		return bluebellhold.Config{}, err
-	}
+func instanceConfig(s settings.Settings) (bluebellhold.Config, error) {
 	client := store.NewClient(store.ClientConfig{Address: s.PlatformURL, Instance: s.Name})
 	config := bluebellhold.Config{
 		Self: store.Member{
@@ -127,7 +149,6 @@
 		Table:          client,
 		Objects:        client,
 		Directory:      client,
-		Log:            log.NewWithOptions(w, log.Options{Level: level, ReportTimestamp: true, TimeFormat: time.RFC3339Nano}),
 		FaultInjection: s.Testing,
 
 		MaxClaimedBody:  s.Limits.MaxClaimedBody,
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -17,6 +16,7 @@
 	"bluebellhold/internal/entry"
 	"bluebellhold/internal/ingress"
 	"bluebellhold/internal/settings"
+	"bluebellhold/logwriter"
 	"bluebellhold/platform"
 )
 
@@ -30,12 +30,15 @@
 	// memoryLimitPercent is the share of the process's memory that the Go runtime's memory limit is set to; the rest is
 	// for socket buffers.
 	memoryLimitPercent = 70
+	// lastLinesPercent is the share of the grace period that the end of a stop waits for the output to take the last lines.
+	// The requests in flight have most of the period.
+	lastLinesPercent = 2
 	// gcPercent is the heap growth in percent that starts a garbage collection.
 	gcPercent = 200
 )
 
 // runEntry checks the settings and, unless checkOnly is set, serves until a stop signal.
-func runEntry(ctx context.Context, path string, checkOnly bool, w io.Writer) error {
+func runEntry(ctx context.Context, path string, checkOnly bool, to outputs) error {
 	// The settings may change at any time, and SIGHUP ends a process that does not handle it yet.
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
@@ -43,14 +46,20 @@
 	if err != nil {
 		return err
 	}
-	config, err := entryConfig(s)
+	level, err := log.ParseLevel(s.LogLevel)
 	if err != nil {
 		return err
 	}
 	if checkOnly {
-		_, err := fmt.Fprintln(w, "settings are valid")
+		_, err := fmt.Fprintln(to.messages, "settings are valid")
 		return err
 	}
+	logs := logwriter.New(logwriter.Config{
+		Output: to.log, Options: log.Options{Level: level, Formatter: log.LogfmtFormatter},
+	})
+	defer func() { logs.Close(time.Now().Add(time.Duration(s.Bounds.GracePeriod) * lastLinesPercent / 100)) }()
+	discardStandardLog()
+	config := entryConfig(s, logs)
 	debug.SetMemoryLimit(int64(config.MemoryLimit) * memoryLimitPercent / 100)
 	debug.SetGCPercent(gcPercent)
 	instance, err := ingress.New(config)
@@ -59,18 +68,14 @@
 	}
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	go reloadOnSignal(ctx, reloads, path, config.Log)
+	go reloadOnSignal(ctx, reloads, path, logs.Logger())
 	if err := instance.Run(ctx); err != nil {
 		return &RunError{Cause: err}
 	}
 	return nil
 }
 
-func entryConfig(s settings.Entry) (ingress.Config, error) {
-	level, err := log.ParseLevel(s.LogLevel)
-	if err != nil {
-		return ingress.Config{}, err
-	}
+func entryConfig(s settings.Entry, logs *logwriter.Writer) ingress.Config {
 	set, _ := features.Parse(s.Features)
 	return ingress.Config{
 		Features: set.Union(platform.FeaturesOf(s.Terms)),
@@ -87,10 +92,8 @@
 		HeaderCodec:             platform.HeaderCodec{},
 		RowDecoder:              platform.RowDecoder{RegionByDataCentre: s.RegionByDataCentre},
 		RegisterControlHandlers: platform.RegisterControlHandlers,
-		Log: log.NewWithOptions(os.Stdout, log.Options{
-			Level: level, ReportTimestamp: false, Formatter: log.LogfmtFormatter,
-		}),
-	}, nil
+		Log:                     logs,
+	}
 }
 
 func entryBounds(b settings.Bounds) entry.Bounds {
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -4,13 +4,13 @@
 	"net/http"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/gorilla/mux"
 	"github.com/rcrowley/go-metrics"
 
 	"bluebellhold/features"
 	"bluebellhold/id"
 	"bluebellhold/internal/entry"
+	"bluebellhold/logwriter"
 	"bluebellhold/placement"
 	"bluebellhold/store"
 )
@@ -41,7 +41,7 @@
 	RowDecoder  RowDecoder
 	// RegisterControlHandlers adds the handlers of readiness checks and look-ups to a router.
 	RegisterControlHandlers func(*mux.Router, Status)
-	Log                     *log.Logger
+	Log                     *logwriter.Writer
 	// Registry receives the metrics; nil means a new registry.
 	Registry metrics.Registry
 }
--- a/internal/ingress/harness_test.go
+++ b/internal/ingress/harness_test.go
@@ -24,6 +24,7 @@
 	"bluebellhold/internal/entry"
 	"bluebellhold/internal/ingress"
 	"bluebellhold/internal/loopback"
+	"bluebellhold/logwriter"
 	"bluebellhold/platform"
 	"bluebellhold/store"
 )
@@ -287,7 +288,7 @@
 		},
 		HeaderCodec: platform.HeaderCodec{}, RegisterControlHandlers: platform.RegisterControlHandlers,
 		RowDecoder: platform.RowDecoder{RegionByDataCentre: map[id.DataCentre]id.Region{"osrednja-a": "osrednja"}},
-		Log:        log.NewWithOptions(output, log.Options{Formatter: log.LogfmtFormatter}),
+		Log:        logwriter.New(logwriter.Config{Output: output, Options: log.Options{Formatter: log.LogfmtFormatter}}),
 	}
 	change(&config)
 	instance, err := ingress.New(config)
@@ -297,6 +298,7 @@
 	go func() {
 		defer close(stopped)
 		_ = instance.Run(ctx)
+		config.Log.Close(time.Now().Add(time.Second))
 	}()
 	h.Cleanup(func() {
 		stop()
--- a/internal/ingress/instance.go
+++ b/internal/ingress/instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	stdlog "log"
 	"net"
 	"net/http"
 	"sync"
@@ -76,11 +77,12 @@
 	}
 	startedAt := time.Now()
 	startTime := startedAt.UnixNano()
+	metrics.NewRegisteredFunctionalGauge("log.dropped", c.Registry, func() int64 { return int64(c.Log.Dropped()) })
 	i := &Instance{
 		startTime:     startTime,
 		startedAt:     startedAt,
 		config:        c,
-		log:           c.Log,
+		log:           c.Log.Logger(),
 		registry:      c.Registry,
 		callerMetrics: newCallerMetrics(c.Registry),
 		documents:     newDocuments(c.Registry),
@@ -107,7 +109,7 @@
 func (i *Instance) listen() error {
 	i.callerServer = &http.Server{
 		Handler: http.HandlerFunc(i.serve), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: maxIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnState: i.callerConnections.track,
+		MaxHeaderBytes: maxHeaderBytes, ConnState: i.callerConnections.track, ErrorLog: i.httpErrorLog(),
 	}
 	control := mux.NewRouter()
 	control.HandleFunc("/metrics", i.serveMetrics)
@@ -118,7 +120,9 @@
 		return err
 	}
 	for _, address := range []string{i.config.ReadinessAddress, i.config.LookupAddress, i.config.MetricsAddress} {
-		server := &http.Server{Handler: control, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: maxIdleTimeout}
+		server := &http.Server{
+			Handler: control, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: maxIdleTimeout, ErrorLog: i.httpErrorLog(),
+		}
 		if err := i.bind(address, server); err != nil {
 			return err
 		}
@@ -126,6 +130,12 @@
 	return nil
 }
 
+// httpErrorLog returns the log for errors of HTTP servers, such as panics of handlers; by default they go to standard
+// error, where a write may block.
+func (i *Instance) httpErrorLog() *stdlog.Logger {
+	return i.log.StandardLog(log.StandardLogOptions{ForceLevel: log.ErrorLevel})
+}
+
 func (i *Instance) bind(address string, server *http.Server) error {
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 3,
@@ -166,7 +176,6 @@
 	i.sessions.close()
 	i.close()
 	i.goroutines.Wait()
-	i.requestLog.close()
 	i.log.Info("instance: stopped")
 	return nil
 }
--- a/internal/ingress/request_log.go
+++ b/internal/ingress/request_log.go
@@ -4,33 +4,26 @@
 	"fmt"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"bluebellhold/id"
 	"bluebellhold/internal/entry"
+	"bluebellhold/logwriter"
 	"bluebellhold/placement"
 )
 
+// failureLinesPerSecond and successLinesPerSecond limit the lines about failed and about successful requests. They are
+// separate, so that successes never displace the failures that users ask about.
 const (
-	// requestLogCapacity is the number of lines that may wait to be written; further lines are dropped, since logging
-	// must never block a request.
-	requestLogCapacity = 512
-	// failureLinesPerSecond and successLinesPerSecond limit the lines about failed and about successful requests. They
-	// are separate, so that successes never displace the failures that users ask about.
 	failureLinesPerSecond = 100
 	successLinesPerSecond = 40
 )
 
-// requestLog logs one line for each outcome of an attempt and each refusal. It writes asynchronously, never blocks and
-// limits its rate; dropped lines are counted.
+// requestLog logs one line for each outcome of an attempt and each refusal. It limits its rate, and leaves lines out while
+// half of the log's queue is in use, so that the other half is free for lines about the instance itself. Lines that are
+// left out count as dropped.
 type requestLog struct {
-	log     *log.Logger
-	queue   chan logLine
-	writer  sync.WaitGroup
-	dropped atomic.Uint64
+	writer *logwriter.Writer
 
 	mu sync.Mutex
 	// periodEnd is the end of the second that failures and successes are counted for.
@@ -48,49 +41,24 @@
 	maxLoggedHeaderBytes = 128
 )
 
-type logLine struct {
-	message string
-	fields  []any
-}
-
-func newRequestLog(logger *log.Logger) *requestLog {
-	l := &requestLog{log: logger, queue: make(chan logLine, requestLogCapacity), oddHeaders: make(map[string]bool)}
-	l.writer.Go(l.writeLines)
-	return l
-}
-
-func (l *requestLog) writeLines() {
-	for line := range l.queue {
-		if n := l.dropped.Swap(0); n > 0 {
-			l.log.Warn("journal: lines dropped", "count", n)
-		}
-		l.log.Info(line.message, line.fields...)
-	}
-}
-
-func (l *requestLog) close() {
-	close(l.queue)
-	l.writer.Wait()
+func newRequestLog(writer *logwriter.Writer) *requestLog {
+	return &requestLog{writer: writer, oddHeaders: make(map[string]bool)}
 }
 
 func (l *requestLog) logFailure(message string, fields ...any) {
-	l.enqueue(&l.failures, failureLinesPerSecond, logLine{message, fields})
+	l.write(&l.failures, failureLinesPerSecond, message, fields)
 }
 
 func (l *requestLog) logSuccess(message string, fields ...any) {
-	l.enqueue(&l.successes, successLinesPerSecond, logLine{message, fields})
+	l.write(&l.successes, successLinesPerSecond, message, fields)
 }
 
-func (l *requestLog) enqueue(count *int, limit int, line logLine) {
-	if !l.allow(time.Now(), count, limit) {
-		l.dropped.Add(1)
+func (l *requestLog) write(count *int, limit int, message string, fields []any) {
+	if !l.allow(time.Now(), count, limit) || l.writer.IsBusy() {
+		l.writer.CountDropped()
 		return
 	}
-	select {
-	case l.queue <- line:
-	default:
-		l.dropped.Add(1)
-	}
+	l.writer.Logger().Info(message, fields...)
 }
 
 func (l *requestLog) allow(now time.Time, count *int, limit int) bool {
--- a/internal/scenario/command_linux_test.go
+++ b/internal/scenario/command_linux_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"bluebellhold/internal/outputpipe"
 )
 
 // The timeouts end scripts that would hang.
@@ -30,6 +32,8 @@
 		"crash":     signalCommand(syscall.SIGKILL, (*process).exited),
 		"freeze":    signalCommand(syscall.SIGSTOP, (*process).stopped),
 		"thaw":      signalCommand(syscall.SIGCONT, (*process).anyState),
+		"unread":    outputCommand((*outputpipe.Pipe).Stall),
+		"shut":      outputCommand((*outputpipe.Pipe).CloseReader),
 		"await":     await,
 		"fleet":     startFleet,
 		"load":      startLoad,
@@ -53,6 +57,10 @@
 	return checkResult(func(e *scriptEnv, args []string) error { return e.sendSignal(args[0], s, effect) }, 1)
 }
 
+func outputCommand(change func(*outputpipe.Pipe) error) command {
+	return checkResult(func(e *scriptEnv, args []string) error { return e.changeOutput(args[0], change) }, 1)
+}
+
 func scriptEnvOf(ts *testscript.TestScript) *scriptEnv {
 	return ts.Value(scriptEnvKey{}).(*scriptEnv)
 }
--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -7,6 +7,8 @@
 //	terminate NAME                   send SIGTERM, wait and check the exit status ("!" expects a failure)
 //	crash NAME                       send SIGKILL and wait
 //	freeze NAME, thaw NAME           send SIGSTOP or SIGCONT
+//	unread NAME                      stop reading the output of a process, and fill its pipe
+//	shut NAME                        close the pipe that reads the output of a process
 //	log NAME                         print the log of a process
 //	control PATH JSON                post to the control address of the stand-in
 //	counts                           print the counts of the stand-in
--- a/internal/scenario/process_linux_test.go
+++ b/internal/scenario/process_linux_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -10,6 +11,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"bluebellhold/internal/outputpipe"
 )
 
 // startTimeout and signalTimeout only end scripts that would hang; a planned stop waits until cached look-ups expire.
@@ -24,6 +27,7 @@
 // process is a program in the background; err is the result of its exit and is set before done is closed.
 type process struct {
 	command *exec.Cmd
+	output  *outputpipe.Pipe
 	done    chan struct{}
 	err     error
 }
@@ -45,21 +49,24 @@
 	if err != nil {
 		return err
 	}
-	defer func() { _ = log.Close() }()
+	output, err := outputpipe.New(log)
+	if err != nil {
+		return err
+	}
 	if !filepath.IsAbs(program) {
 		program = filepath.Join(programDir, program)
 	}
 	command := exec.Command(program, args...)
-	command.Dir, command.Stdout, command.Stderr = e.workDir, log, log
+	command.Dir, command.Stdout, command.Stderr = e.workDir, output.Writer(), output.Writer()
 	// The kernel kills the program if the test itself is killed and cannot clean up.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
-		return fatalError(err.Error())
+		return fatalError(errors.Join(err, output.Release(), log.Close()).Error())
 	}
-	p := &process{command: command, done: make(chan struct{})}
+	p := &process{command: command, output: output, done: make(chan struct{})}
 	e.processes[name] = p
 	go func() {
-		p.err = command.Wait()
+		p.err = errors.Join(command.Wait(), output.Release(), log.Close())
 		close(p.done)
 	}()
 	return e.awaitReady(name, p)
@@ -135,6 +142,18 @@
 	return nil
 }
 
+// changeOutput applies change to the output of a running process.
+func (e *scriptEnv) changeOutput(name string, change func(*outputpipe.Pipe) error) error {
+	p := e.processes[name]
+	if p == nil || p.exited() {
+		return fatalError(name + " is not running")
+	}
+	if err := change(p.output); err != nil {
+		return fatalError(err.Error())
+	}
+	return nil
+}
+
 // killAll kills the processes that the script left running.
 func (e *scriptEnv) killAll() {
 	for _, p := range e.processes {
--- a/logwriter/writer.go
+++ b/logwriter/writer.go
@@ -17,8 +17,8 @@
 	// maxWriteSize is the size of a write to the output, except for a longer line. It is PIPE_BUF: a pipe does not mix
 	// writes of this size with those of other processes.
 	maxWriteSize id.Bytes = 4096
-	// minReportInterval is the shortest time between two reports of dropped lines.
-	minReportInterval = time.Second
+	// reportDelay is the time from a dropped line to its report, which also covers the lines that are dropped meanwhile.
+	reportDelay = time.Second
 )
 
 // Config configures a Writer.
@@ -48,7 +48,6 @@
 	dropped, unreported uint64
 	isReportDue         bool
 	reportTimer         *time.Timer
-	nextReportAt        time.Time
 	isClosed            bool
 	// written is closed once the Writer is closed and has written its lines.
 	written chan struct{}
@@ -126,7 +125,7 @@
 
 func (w *Writer) scheduleReportLocked() {
 	if w.reportTimer == nil && !w.isReportDue && !w.isClosed {
-		w.reportTimer = time.AfterFunc(time.Until(w.nextReportAt), w.requestReport)
+		w.reportTimer = time.AfterFunc(reportDelay, w.requestReport)
 	}
 }
 
@@ -216,7 +215,7 @@
 		return
 	}
 	lines := w.unreported
-	w.isReportDue, w.nextReportAt = false, time.Now().Add(minReportInterval)
+	w.isReportDue = false
 	w.mu.Unlock()
 	w.report.Warn("journal: lines dropped", "count", lines)
 	_, err := w.output.Write(w.reportBuffer.Bytes())
