Read rows and messages of the releases before and after this one

While machines are replaced one after the other, or put back to an older build, neighbouring releases read each other's rows and messages. Unknown fields of JSON rows and protobuf messages were ignored already, but nothing guarded that, and the rows of the last good document were an exception: their seal was computed from the fields that the reader knows, so that a row to which the next release adds a field counts as forged, and with it an instance that starts while the newest document can't be read has no configuration at all.

The seal is now checked against the row as it was written, without the seal, which stays the last field.

What decodes a heartbeat and a group's row is a function of its own for them.

--- a/internal/ingress/document.go
+++ b/internal/ingress/document.go
@@ -1,12 +1,15 @@
 package ingress
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"crypto/hmac"
 	"crypto/sha256"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -358,7 +361,8 @@
 	Cause id.Digest `json:"cause"`
 	Seen  uint64    `json:"seen"`
 	Body  []byte    `json:"body"`
-	// Seal proves that an instance of the fleet wrote the row.
+	// Seal proves that an instance of the fleet wrote the row. It covers the row without the seal, which must stay the last
+	// field.
 	Seal []byte `json:"seal,omitempty"`
 }
 
@@ -366,17 +370,18 @@
 	return lastDocument{version: p.Version, seen: p.Seen}.compare(other)
 }
 
-// seal returns the seal of a row for the fleet's secret.
-func (p partRow) seal(secret []byte) ([]byte, error) {
-	p.Seal = nil
-	body, err := json.Marshal(p)
-	if err != nil {
-		return nil, err
-	}
+// sealOf returns the seal of a row that has none yet.
+func sealOf(secret, row []byte) []byte {
 	mac := hmac.New(sha256.New, secret)
 	mac.Write([]byte(sealLabel))
-	mac.Write(body)
-	return mac.Sum(nil), nil
+	mac.Write(row)
+	return mac.Sum(nil)
+}
+
+// withoutSeal returns the row as it was before it was sealed. Fields that this release does not know stay in it.
+func withoutSeal(row, seal []byte) []byte {
+	end := `,"seal":"` + base64.StdEncoding.EncodeToString(seal) + `"}`
+	return slices.Concat(bytes.TrimSuffix(row, []byte(end)), []byte{'}'})
 }
 
 func lastRowName(part int) string {
@@ -403,9 +408,11 @@
 			Version: d.version, Part: i, Parts: count, Digest: id.DigestOf(compressed), Cause: d.cause, Seen: d.seen,
 			Body: compressed[i*maxPartBytes : min((i+1)*maxPartBytes, len(compressed))],
 		}
-		if part.Seal, err = part.seal(secret); err != nil {
+		body, err := json.Marshal(part)
+		if err != nil {
 			return nil, err
 		}
+		part.Seal = sealOf(secret, body)
 		if rows[i], err = json.Marshal(part); err != nil {
 			return nil, err
 		}
@@ -422,11 +429,7 @@
 	if err := json.Unmarshal(row.Value, &part); err != nil {
 		return part, &LastDocumentError{Row: row.Name, Reason: "damaged: " + err.Error()}
 	}
-	seal, err := part.seal(secret)
-	if err != nil {
-		return part, err
-	}
-	if !hmac.Equal(seal, part.Seal) {
+	if !hmac.Equal(sealOf(secret, withoutSeal(row.Value, part.Seal)), part.Seal) {
 		return part, &LastDocumentError{Row: row.Name, Reason: "not sealed with the fleet's secret"}
 	}
 	return part, nil
--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -18,6 +18,13 @@
 	DecompressMessage = decompressMessage
 )
 
+// DecodeHeartbeat and DecodeGroup give tests access to the codecs of rows, and SealOf to the seal of a last good document.
+var (
+	DecodeHeartbeat = decodeHeartbeat
+	DecodeGroup     = decodeGroup
+	SealOf          = sealOf
+)
+
 // Relay gives tests access to what a coordinator remembers of a table.
 type Relay struct{ table *relayedTable }
 
--- a/internal/ingress/groups.go
+++ b/internal/ingress/groups.go
@@ -145,15 +145,24 @@
 func (f *follower) decodeGroupRows(rows map[string]store.Change) []entry.GroupRow {
 	groups := make([]entry.GroupRow, 0, len(rows))
 	for name, change := range rows {
-		var row groupRow
-		if err := json.Unmarshal(change.Value, &row); err != nil {
+		row, err := decodeGroup(name, change)
+		if err != nil {
 			f.log.Warn("groups: invalid row", "row", name, "error", err)
 			continue
 		}
-		groups = append(groups, entry.GroupRow{
-			Group: id.Group(name), Version: change.Version, Writer: row.Writer, StartTime: row.StartTime, Size: row.Size,
-			Demand: row.Demand, Shares: row.Shares, IsRestored: isRestored(row.Era, change),
-		})
+		groups = append(groups, row)
 	}
 	return groups
 }
+
+// decodeGroup decodes the row of a group, whose writer may be of another release.
+func decodeGroup(name string, change store.Change) (entry.GroupRow, error) {
+	var row groupRow
+	if err := json.Unmarshal(change.Value, &row); err != nil {
+		return entry.GroupRow{}, err
+	}
+	return entry.GroupRow{
+		Group: id.Group(name), Version: change.Version, Writer: row.Writer, StartTime: row.StartTime, Size: row.Size,
+		Demand: row.Demand, Shares: row.Shares, IsRestored: isRestored(row.Era, change),
+	}, nil
+}
--- a/internal/ingress/heartbeat.go
+++ b/internal/ingress/heartbeat.go
@@ -257,11 +257,20 @@
 		delete(f.knownMembers, change.Name)
 		return
 	}
-	var heartbeat heartbeatRow
-	if err := json.Unmarshal(change.Value, &heartbeat); err != nil || heartbeat.Address == "" {
+	member, err := decodeHeartbeat(change)
+	if err != nil || member.Address == "" {
 		f.log.Warn("members: invalid row", "row", change.Name, "error", err)
 		return
 	}
+	f.knownMembers[change.Name] = member
+}
+
+// decodeHeartbeat decodes the heartbeat of an instance of this or another release.
+func decodeHeartbeat(change store.Change) (entry.Member, error) {
+	var heartbeat heartbeatRow
+	if err := json.Unmarshal(change.Value, &heartbeat); err != nil {
+		return entry.Member{}, err
+	}
 	var suspects []retry.Report
 	for _, s := range heartbeat.Suspects {
 		suspects = append(suspects, retry.Report{
@@ -284,12 +293,12 @@
 		// The instance does not know eras; it has read this one.
 		heartbeat.ReadVersion = store.VersionInEra(store.EraOf(change.Version), heartbeat.ReadVersion)
 	}
-	f.knownMembers[change.Name] = entry.Member{
+	return entry.Member{
 		Instance: id.Instance(change.Name), Region: heartbeat.Region, DataCentre: heartbeat.DataCentre,
 		Address: heartbeat.Address, PeerAddress: heartbeat.PeerAddress, Capacity: heartbeat.Capacity, Vouched: heartbeat.Vouched,
 		Leaving: heartbeat.Leaving, Version: change.Version, ReadVersion: heartbeat.ReadVersion,
 		StartTime: heartbeat.StartTime, OfferedLoad: heartbeat.OfferedLoad, PinnedLoad: heartbeat.PinnedLoad,
 		LocalShares: heartbeat.LocalShares, Suspects: suspects, Limits: limits, Leavers: leavers, Severed: heartbeat.Severed,
 		IsRestored: isRestored(heartbeat.Era, change),
-	}
+	}, nil
 }
