Pass over settings that only another release knows

Load and LoadEntry now pass over fields that they don't know, and unknown names in features; the daemon logs each at the start and at SIGHUP. Below tls, unknown fields stay refused at the start: there a field may decide who is let in. The same holds for both ways of running.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	_ "bluebellhold/internal/hangup" // the platform may send SIGHUP at any time
 	"bluebellhold/internal/settings"
 	"bluebellhold/logwriter"
+	"bluebellhold/note"
 	"bluebellhold/store"
 )
 
@@ -50,7 +51,7 @@
 			"Example: bluebellholdd --settings osrednja-1.json",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "read the settings from `FILE`", Required: true},
-			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings, in which every field must be known, and exit"},
 			&cli.BoolFlag{Name: "entry", Usage: "follow the platform's store instead of release notes"},
 		},
 		Writer:         w,
@@ -88,6 +89,11 @@
 
 // run checks the settings and, unless checkOnly is set, serves until a planned stop is complete.
 func run(ctx context.Context, path string, checkOnly bool, to outputs) error {
+	if checkOnly {
+		if err := settings.Check(path); err != nil {
+			return err
+		}
+	}
 	s, err := settings.Load(path)
 	if err != nil {
 		return err
@@ -109,6 +115,7 @@
 		Options: log.Options{Level: level, ReportTimestamp: true, TimeFormat: time.RFC3339Nano},
 	})
 	defer func() { config.Log.Close(time.Now().Add(lastLinesTimeout)) }()
+	logPassedOver(config.Log.Logger(), s.PassedOver)
 	discardStandardLog()
 	instance, err := bluebellhold.New(config)
 	if err != nil {
@@ -123,6 +130,13 @@
 	return nil
 }
 
+// logPassedOver reports what the settings contain for another release.
+func logPassedOver(logger *log.Logger, fields []*note.FieldError) {
+	for _, f := range fields {
+		logger.Warn("settings: passed over, not known to this release", "field", f.Path, "found", f.Value, "allowed", f.Allowed)
+	}
+}
+
 // discardStandardLog discards the lines of package log: net/http logs unsolicited bytes from an upstream or the store,
 // which may be part of a response to an organisation or of a secret.
 func discardStandardLog() { stdlog.SetOutput(io.Discard) }
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 
 	"bluebellhold"
@@ -93,3 +94,30 @@
 		require.NotEmpty(t, output.String())
 	}
 }
+
+// Guards against a misspelled setting that --check does not find, and against a process that does not report what it passes
+// over at its start.
+func TestUnknownSettingsAreReported(t *testing.T) {
+	sample, err := os.ReadFile("../settings/testdata/formats/entry-b68f64d.json")
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "settings.json")
+	check := func() (status int, output string) {
+		var buffer bytes.Buffer
+		status = Main([]string{"bluebellholdd", "--entry", "--check", "--settings", path}, &buffer)
+		return status, buffer.String()
+	}
+	require.NoError(t, os.WriteFile(path, sample, 0o600))
+	status, output := check()
+	require.Equal(t, ExitOK, status, output)
+
+	require.NoError(t, os.WriteFile(path, bytes.Replace(sample, []byte(`"link"`), []byte(`"lnk"`), 1), 0o600))
+	status, output = check()
+	require.Equal(t, ExitUsage, status)
+	require.Contains(t, output, "lnk: is an unknown field with a number")
+
+	s, err := settings.LoadEntry(path)
+	require.NoError(t, err)
+	var buffer bytes.Buffer
+	logPassedOver(log.NewWithOptions(&buffer, log.Options{Formatter: log.LogfmtFormatter}), s.PassedOver)
+	require.Contains(t, buffer.String(), `msg="settings: passed over, not known to this release" field=lnk`)
+}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -42,6 +42,11 @@
 	// The settings may change at any time, and SIGHUP ends a process that does not handle it yet.
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
+	if checkOnly {
+		if err := settings.CheckEntry(path); err != nil {
+			return err
+		}
+	}
 	s, err := settings.LoadEntry(path)
 	if err != nil {
 		return err
@@ -58,6 +63,7 @@
 		Output: to.log, Options: log.Options{Level: level, Formatter: log.LogfmtFormatter},
 	})
 	defer func() { logs.Close(time.Now().Add(time.Duration(s.Bounds.GracePeriod) * lastLinesPercent / 100)) }()
+	logPassedOver(logs.Logger(), s.PassedOver)
 	discardStandardLog()
 	config := entryConfig(s, logs)
 	debug.SetMemoryLimit(int64(config.MemoryLimit) * memoryLimitPercent / 100)
@@ -121,6 +127,7 @@
 			logger.Error("settings: not reloaded; the previous settings stay in force", "error", err)
 			continue
 		}
+		logPassedOver(logger, s.PassedOver)
 		if level, err := log.ParseLevel(s.LogLevel); err == nil {
 			logger.SetLevel(level)
 		}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -48,6 +48,9 @@
 	// Terms are the platform's terms for the deployment, which may call for optional parts; unknown ones are ignored.
 	Terms    []string `json:"terms,omitempty"`
 	LogLevel string   `json:"log,omitempty"`
+
+	// PassedOver are the fields and features that this release does not know.
+	PassedOver []*note.FieldError `json:"-"`
 }
 
 // Bounds are the operator's guarantees to callers and upstreams, each summed over all instances.
@@ -97,7 +100,8 @@
 // Allowed describes the notation for reports of invalid fields.
 func (d *Duration) Allowed() string { return "a duration such as 2500ms or 6s" }
 
-// LoadEntry reads and checks the settings file of an instance that reads its configuration from the platform's store.
+// LoadEntry reads and checks the settings file of an instance that reads its configuration from the platform's store. It
+// passes over what only another release knows.
 //
 // The error is a ReadError or an InvalidError.
 func LoadEntry(path string) (Entry, error) {
@@ -107,11 +111,18 @@
 	}
 	var c checker
 	s := Entry{LogLevel: DefaultLogLevel}
-	strict.Decode(body, &s, c.Report)
+	strict.DecodeKnown(body, &s, c.Report, c.reportUnknown)
 	c.checkEntry(&s)
+	s.PassedOver = fieldErrors(c.unknown.Problems())
 	return s, c.invalidError(path)
 }
 
+// CheckEntry is LoadEntry for a file that belongs to this release: what LoadEntry passes over is invalid.
+func CheckEntry(path string) error {
+	s, err := LoadEntry(path)
+	return withPassedOver(path, err, s.PassedOver)
+}
+
 func (c *checker) checkEntry(s *Entry) {
 	c.checkNames(map[string]string{
 		"name": string(s.Name), "region": string(s.Region), "datacentre": string(s.DataCentre),
@@ -164,7 +175,7 @@
 func (c *checker) checkFeatures(names []string) {
 	_, unknown := features.Parse(names)
 	for _, name := range unknown {
-		c.Report("features", strconv.Quote(name), "some of "+strings.Join(features.Names(), ", "))
+		c.unknown.Report("features", strconv.Quote(name), "some of "+strings.Join(features.Names(), ", "))
 	}
 }
 
@@ -189,9 +200,5 @@
 	if len(problems) == 0 {
 		return nil
 	}
-	invalid := &InvalidError{File: path}
-	for _, p := range problems {
-		invalid.Fields = append(invalid.Fields, &note.FieldError{Path: p.Path, Value: p.Value, Allowed: p.Allowed})
-	}
-	return invalid
+	return &InvalidError{File: path, Fields: fieldErrors(problems)}
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -4,13 +4,17 @@
 	"bytes"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"net/netip"
 	"net/url"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
+	"strings"
 
 	"bluebellhold/internal/strict"
+	"bluebellhold/note"
 )
 
 // minSecretBytes is the minimum length of a secret; a shorter one can be guessed.
@@ -18,7 +22,8 @@
 
 var logLevels = []string{"debug", "info", "warn", "error"}
 
-// Load reads and checks the settings file, sets the defaults and reads the secret files.
+// Load reads and checks the settings file, sets the defaults and reads the secret files. It passes over what only another
+// release knows, except below tls, where a field may decide who is let in.
 //
 // The error is a ReadError or an InvalidError.
 func Load(path string) (Settings, error) {
@@ -31,22 +36,61 @@
 		LogLevel: DefaultLogLevel,
 		Limits:   Limits{MaxClaimedBody: DefaultMaxClaimedBody, MaxHeader: DefaultMaxHeader, QueueClassLimit: DefaultQueueClassLimit},
 	}
-	strict.Decode(body, &s, c.Report)
+	strict.DecodeKnown(body, &s, c.Report, c.reportUnknown)
 	c.checkIdentity(&s)
 	c.checkAddresses(&s)
 	c.checkOptions(&s)
 	s.PeerSecret = c.readSecret("secret", &s.SecretFile)
 	s.OperatorToken = c.readSecret("token", &s.TokenFile)
 	c.checkTLS(&s.TLS)
+	s.PassedOver = fieldErrors(c.unknown.Problems())
 	if err := c.invalidError(path); err != nil {
-		return Settings{}, err
+		return Settings{PassedOver: s.PassedOver}, err
 	}
 	return s, nil
 }
 
+// Check is Load for a file that belongs to this release: what Load passes over is invalid.
+func Check(path string) error {
+	s, err := Load(path)
+	return withPassedOver(path, err, s.PassedOver)
+}
+
+// withPassedOver adds the fields that were passed over to the result of Load or LoadEntry.
+func withPassedOver(path string, err error, passedOver []*note.FieldError) error {
+	if len(passedOver) == 0 || errors.As(err, new(*ReadError)) {
+		return err
+	}
+	all := &InvalidError{File: path, Fields: passedOver}
+	if invalid := (*InvalidError)(nil); errors.As(err, &invalid) {
+		all.Fields = slices.Concat(invalid.Fields, passedOver)
+	}
+	slices.SortStableFunc(all.Fields, func(a, b *note.FieldError) int { return strings.Compare(a.Path, b.Path) })
+	return all
+}
+
 type checker struct {
 	strict.Collector
-	dir string
+	// unknown collects what is passed over.
+	unknown strict.Collector
+	dir     string
+}
+
+// reportUnknown reports a field that this release does not know.
+func (c *checker) reportUnknown(path, value, allowed string) {
+	if strings.HasPrefix(path, "tls.") {
+		c.Report(path, value, allowed)
+		return
+	}
+	c.unknown.Report(path, value, allowed)
+}
+
+func fieldErrors(problems []strict.Problem) []*note.FieldError {
+	var fields []*note.FieldError
+	for _, p := range problems {
+		fields = append(fields, &note.FieldError{Path: p.Path, Value: p.Value, Allowed: p.Allowed})
+	}
+	return fields
 }
 
 func (c *checker) checkIdentity(s *Settings) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"bluebellhold/id"
+	"bluebellhold/note"
 )
 
 // Defaults of the optional settings.
@@ -37,6 +38,8 @@
 
 	PeerSecret    Secret `json:"-"`
 	OperatorToken Secret `json:"-"`
+	// PassedOver are the fields that this release does not know.
+	PassedOver []*note.FieldError `json:"-"`
 }
 
 // TLS names the certificate files of each address; nil means that the address uses no TLS.
--- a/internal/strict/decode.go
+++ b/internal/strict/decode.go
@@ -20,16 +20,22 @@
 // implement encoding.TextUnmarshaler, only the JSON type or the length of a value is reported, because it may be a
 // secret.
 func Decode(body []byte, target any, report ReportFunc) {
+	DecodeKnown(body, target, report, report)
+}
+
+// DecodeKnown is Decode for a document that another release may have written: it passes unknown fields over and reports
+// them to unknown.
+func DecodeKnown(body []byte, target any, report, unknown ReportFunc) {
 	root, ok := parse(body, report)
 	if !ok {
 		return
 	}
-	d := decoder{report: report}
+	d := decoder{report: report, unknown: unknown}
 	d.decode(root, reflect.ValueOf(target).Elem(), "")
 }
 
 type decoder struct {
-	report ReportFunc
+	report, unknown ReportFunc
 }
 
 func (d decoder) decode(node any, target reflect.Value, path string) {
@@ -83,7 +89,7 @@
 		present[m.name] = true
 		f, known := fields[m.name]
 		if !known {
-			d.report(joinPath(path, m.name), "an unknown field with "+describe(m.value), "one of "+strings.Join(names, ", "))
+			d.unknown(joinPath(path, m.name), "an unknown field with "+describe(m.value), "one of "+strings.Join(names, ", "))
 			continue
 		}
 		d.decode(m.value, target.Field(f.index), joinPath(path, m.name))
--- a/internal/tool/read.go
+++ b/internal/tool/read.go
@@ -109,7 +109,7 @@
 			}),
 		t.newCommand("settings", "FILE", "check the daemon's settings and the files that they name", "check settings settings.json",
 			func(_ context.Context, cmd *cli.Command) error {
-				if _, err := settings.Load(cmd.Args().First()); err != nil {
+				if err := settings.Check(cmd.Args().First()); err != nil {
 					return err
 				}
 				return t.printMessage(cmd, cmd.Args().First()+" is valid.")
