--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,8 @@
 	"bluebellhold"
 	_ "bluebellhold/internal/hangup" // the platform may send SIGHUP at any time
 	"bluebellhold/internal/settings"
+	"bluebellhold/logwriter"
+	"bluebellhold/note"
 	"bluebellhold/store"
 )
 
@@ -27,9 +29,21 @@
 	ExitUsage   = 2
 )
 
+// lastLinesTimeout is how long the end of a process without a grace period waits for the output to take the last lines.
+const lastLinesTimeout = time.Second
+
+// outputs are where the daemon writes to: messages are what the command line prints, such as the error that ends it.
+type outputs struct{ messages, log io.Writer }
+
 // Main runs the daemon with the arguments and returns its exit status. Errors and the log go to w; with --entry the log
 // goes to standard output.
 func Main(arguments []string, w io.Writer) int {
+	// Otherwise a write to standard output or standard error ends the process once nobody can read it.
+	signal.Ignore(syscall.SIGPIPE)
+	to := outputs{messages: w, log: w}
+	if w == io.Writer(os.Stderr) {
+		to.log = unblockStandardError()
+	}
 	command := &cli.Command{
 		Name:  "bluebellholdd",
 		Usage: "run one entry instance",
@@ -37,7 +51,7 @@
 			"Example: bluebellholdd --settings osrednja-1.json",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "read the settings from `FILE`", Required: true},
-			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings, in which every field must be known, and exit"},
 			&cli.BoolFlag{Name: "entry", Usage: "follow the platform's store instead of release notes"},
 		},
 		Writer:         w,
@@ -51,9 +65,10 @@
 				return &UsageError{Text: "unknown argument " + c.Args().First()}
 			}
 			if c.Bool("entry") {
-				return runEntry(ctx, c.String("settings"), c.Bool("check"), w)
+				to.log = os.Stdout
+				return runEntry(ctx, c.String("settings"), c.Bool("check"), to)
 			}
-			return run(ctx, c.String("settings"), c.Bool("check"), w)
+			return run(ctx, c.String("settings"), c.Bool("check"), to)
 		},
 	}
 	err := command.Run(context.Background(), arguments)
@@ -73,19 +88,35 @@
 }
 
 // run checks the settings and, unless checkOnly is set, serves until a planned stop is complete.
-func run(ctx context.Context, path string, checkOnly bool, w io.Writer) error {
+func run(ctx context.Context, path string, checkOnly bool, to outputs) error {
+	if checkOnly {
+		if err := settings.Check(path); err != nil {
+			return err
+		}
+	}
 	s, err := settings.Load(path)
 	if err != nil {
 		return err
 	}
-	config, err := instanceConfig(s, w)
+	config, err := instanceConfig(s)
+	if err != nil {
+		return err
+	}
+	level, err := log.ParseLevel(s.LogLevel)
 	if err != nil {
 		return err
 	}
 	if checkOnly {
-		_, err := fmt.Fprintln(w, "settings are valid")
+		_, err := fmt.Fprintln(to.messages, "settings are valid")
 		return err
 	}
+	config.Log = logwriter.New(logwriter.Config{
+		Output:  to.log,
+		Options: log.Options{Level: level, ReportTimestamp: true, TimeFormat: time.RFC3339Nano},
+	})
+	defer func() { config.Log.Close(time.Now().Add(lastLinesTimeout)) }()
+	logPassedOver(config.Log.Logger(), s.PassedOver)
+	discardStandardLog()
 	// Callers can connect once the instance has been created.
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -93,12 +124,10 @@
 	if err != nil {
 		return &RunError{Cause: err}
 	}
-	// net/http logs unsolicited bytes from an upstream, which may be part of a response to an organisation.
-	stdlog.SetOutput(io.Discard)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go handleSignals(signals, instance.Shutdown, func() {
-		config.Log.Warn("instance: interrupted again, exiting immediately")
+		config.Log.Logger().Warn("instance: interrupted again, exiting immediately")
 		cancel()
 	})
 	if err := instance.Run(ctx); err != nil {
@@ -123,11 +152,18 @@
 	}
 }
 
-func instanceConfig(s settings.Settings, w io.Writer) (bluebellhold.Config, error) {
-	level, err := log.ParseLevel(s.LogLevel)
-	if err != nil {
-		return bluebellhold.Config{}, err
+// logPassedOver reports what the settings contain for another release.
+func logPassedOver(logger *log.Logger, fields []*note.FieldError) {
+	for _, f := range fields {
+		logger.Warn("settings: passed over, not known to this release", "field", f.Path, "found", f.Value, "allowed", f.Allowed)
 	}
+}
+
+// discardStandardLog discards the lines of package log: net/http logs unsolicited bytes from an upstream or the store,
+// which may be part of a response to an organisation or of a secret.
+func discardStandardLog() { stdlog.SetOutput(io.Discard) }
+
+func instanceConfig(s settings.Settings) (bluebellhold.Config, error) {
 	client := store.NewClient(store.ClientConfig{Address: s.PlatformURL, Instance: s.Name})
 	config := bluebellhold.Config{
 		Self: store.Member{
@@ -139,7 +175,6 @@
 		Table:          client,
 		Objects:        client,
 		Directory:      client,
-		Log:            log.NewWithOptions(w, log.Options{Level: level, ReportTimestamp: true, TimeFormat: time.RFC3339Nano}),
 		FaultInjection: s.Testing,
 
 		MaxClaimedBody:  s.Limits.MaxClaimedBody,
