Drop impossible values of heartbeats and groups' rows

A heartbeat with 1e308 slots of load under the name of a starting instance was taken over from its "predecessor": the sum in hundredths was infinite, which JSON has no form for. A group's row with a negative share or size, or any demand, was believed and changes what other groups claim of a limit. The same values in messages were checked before.

Loads, shares, ages and addresses of heartbeats are checked like those of messages, and groups' rows as a whole. A row that can't be read was logged at each change, a group's row at each read, with errors of any length; each is now logged once until it can be read, in at most 1 KiB.

Odd rows of secrets and documents and of the operator's table changed nothing.

--- a/internal/ingress/follower.go
+++ b/internal/ingress/follower.go
@@ -52,6 +52,7 @@
 	hasReadHeartbeats bool
 	heartbeatReads    []heartbeatRead
 	heartbeatEras     eraTracker
+	oddMembers        oddRows
 	// heartbeatWrittenAt is when this instance's last heartbeat was written.
 	heartbeatWrittenAt time.Time
 	groupRows          groupRows
@@ -65,6 +66,7 @@
 		operatorRows:  newOperatorRows(),
 		upstreamRows:  newUpstreamRows(),
 		knownMembers:  make(map[string]entry.Member),
+		oddMembers:    newOddRows(),
 		groupRows:     newGroupRows(i.config.Feed, i.config.Tables.Groups),
 		storeRestored: make(chan struct{}, 1),
 	}
--- a/internal/ingress/groups.go
+++ b/internal/ingress/groups.go
@@ -6,6 +6,8 @@
 	"maps"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"bluebellhold/id"
 	"bluebellhold/internal/entry"
 	"bluebellhold/store"
@@ -36,10 +38,11 @@
 	eras   eraTracker
 	// missing are the last rows of groups that are missing since the store has returned from an older copy.
 	missing map[string]store.Change
+	odd     oddRows
 }
 
 func newGroupRows(feed store.ChangeFeed, table string) groupRows {
-	return groupRows{mirror: store.NewMirror(feed, table), missing: make(map[string]store.Change)}
+	return groupRows{mirror: store.NewMirror(feed, table), missing: make(map[string]store.Change), odd: newOddRows()}
 }
 
 // refresh reads the changed rows.
@@ -146,10 +149,15 @@
 	groups := make([]entry.GroupRow, 0, len(rows))
 	for name, change := range rows {
 		var row groupRow
-		if err := json.Unmarshal(change.Value, &row); err != nil {
-			f.log.Warn("groups: invalid row", "row", name, "error", err)
+		err := json.Unmarshal(change.Value, &row)
+		if err == nil {
+			err = row.check()
+		}
+		if err != nil {
+			f.groupRows.odd.report(f.log, log.WarnLevel, "groups: invalid row", name, err)
 			continue
 		}
+		f.groupRows.odd.forget(name)
 		groups = append(groups, entry.GroupRow{
 			Group: id.Group(name), Version: change.Version, Writer: row.Writer, StartTime: row.StartTime, Size: row.Size,
 			Demand: row.Demand, Shares: row.Shares, IsRestored: isRestored(row.Era, change),
--- a/internal/ingress/heartbeat.go
+++ b/internal/ingress/heartbeat.go
@@ -7,9 +7,10 @@
 	"slices"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"bluebellhold/id"
 	"bluebellhold/internal/entry"
-	"bluebellhold/placement"
 	"bluebellhold/retry"
 	"bluebellhold/store"
 )
@@ -254,30 +255,30 @@
 
 func (f *follower) applyHeartbeatChange(change store.Change) {
 	if change.Deleted {
+		f.oddMembers.forget(change.Name)
 		delete(f.knownMembers, change.Name)
 		return
 	}
 	var heartbeat heartbeatRow
-	if err := json.Unmarshal(change.Value, &heartbeat); err != nil || heartbeat.Address == "" {
-		f.log.Warn("members: invalid row", "row", change.Name, "error", err)
+	err := json.Unmarshal(change.Value, &heartbeat)
+	if err == nil && !isAddress(heartbeat.Address) {
+		err = &RowValueError{Field: "address"}
+	}
+	if err != nil {
+		f.oddMembers.report(f.log, log.WarnLevel, "members: invalid row", change.Name, err)
 		return
 	}
+	f.oddMembers.forget(change.Name)
 	var suspects []retry.Report
 	for _, s := range heartbeat.Suspects {
-		suspects = append(suspects, retry.Report{
-			Digest: s.Digest, Upstreams: s.Upstreams, Age: time.Duration(s.AgeMillis) * time.Millisecond,
-		})
-	}
-	var limits []placement.LimitReport
-	for _, l := range heartbeat.Limits {
-		limits = append(limits, placement.LimitReport{
-			Upstream: l.Upstream, Incarnation: l.Incarnation, Limit: l.Rate, Age: time.Duration(l.AgeMillis) * time.Millisecond,
-		})
+		if age := ageOf(s.AgeMillis); age >= 0 {
+			suspects = append(suspects, retry.Report{Digest: s.Digest, Upstreams: s.Upstreams, Age: age})
+		}
 	}
 	var leavers []entry.LeavingReport
 	for _, l := range heartbeat.Leavers {
 		leavers = append(leavers, entry.LeavingReport{
-			Upstream: l.Upstream, Incarnation: l.Incarnation, Age: time.Duration(l.AgeMillis) * time.Millisecond,
+			Upstream: l.Upstream, Incarnation: l.Incarnation, Age: ageOf(l.AgeMillis),
 		})
 	}
 	if heartbeat.Era == 0 {
@@ -288,8 +289,9 @@
 		Instance: id.Instance(change.Name), Region: heartbeat.Region, DataCentre: heartbeat.DataCentre,
 		Address: heartbeat.Address, PeerAddress: heartbeat.PeerAddress, Capacity: heartbeat.Capacity, Vouched: heartbeat.Vouched,
 		Leaving: heartbeat.Leaving, Version: change.Version, ReadVersion: heartbeat.ReadVersion,
-		StartTime: heartbeat.StartTime, OfferedLoad: heartbeat.OfferedLoad, PinnedLoad: heartbeat.PinnedLoad,
-		LocalShares: heartbeat.LocalShares, Suspects: suspects, Limits: limits, Leavers: leavers, Severed: heartbeat.Severed,
+		StartTime: heartbeat.StartTime, OfferedLoad: possibleLoads(heartbeat.OfferedLoad),
+		PinnedLoad: possiblePinnedLoads(heartbeat.PinnedLoad), LocalShares: possibleShares(heartbeat.LocalShares),
+		Suspects: suspects, Limits: possibleLimits(heartbeat.Limits), Leavers: leavers, Severed: heartbeat.Severed,
 		IsRestored: isRestored(heartbeat.Era, change),
 	}
 }
--- a/internal/ingress/message.go
+++ b/internal/ingress/message.go
@@ -91,7 +91,7 @@
 	}
 	for _, l := range r.GetLoads() {
 		service, slots := id.Service(l.GetService()), l.GetSlots()
-		if !(slots >= 0 && slots <= maxOfferedSlots) {
+		if !isSlots(slots) {
 			continue
 		}
 		if route := id.Route(l.GetRoute()); route != "" {
--- a/internal/ingress/operator.go
+++ b/internal/ingress/operator.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"bluebellhold/id"
 	"bluebellhold/internal/entry"
 	"bluebellhold/store"
@@ -17,10 +19,11 @@
 	// endAt is when rows that are missing since the store's return from an older copy count as removed.
 	endAt map[string]time.Time
 	eras  eraTracker
+	odd   oddRows
 }
 
 func newOperatorRows() operatorRows {
-	return operatorRows{dataCentres: make(map[string]id.DataCentre), endAt: make(map[string]time.Time)}
+	return operatorRows{dataCentres: make(map[string]id.DataCentre), endAt: make(map[string]time.Time), odd: newOddRows()}
 }
 
 // nextEnd returns when the next missing evacuation counts as removed, or zero if none is missing.
@@ -80,6 +83,7 @@
 	hasChanged, isRestored := false, f.operatorRows.eras.isRestored(f.tables[f.config.Tables.Operator].mirror.Version())
 	for _, change := range changes {
 		if change.Deleted {
+			f.operatorRows.odd.forget(change.Name)
 			_, isEvacuation := f.operatorRows.dataCentres[change.Name]
 			if isEvacuation && isRestored {
 				// The operator writes again what was written after the copy.
@@ -96,9 +100,10 @@
 			continue
 		}
 		if err != nil {
-			f.log.Error("operator: a row can't be read; the last valid one remains in force", "row", change.Name, "error", err)
+			f.operatorRows.odd.report(f.log, log.ErrorLevel, "operator: a row can't be read; the last valid one remains in force", change.Name, err)
 			continue
 		}
+		f.operatorRows.odd.forget(change.Name)
 		switch row := row.(type) {
 		case Document:
 			f.applyDocument(change, row)
--- a/internal/ingress/upstreams.go
+++ b/internal/ingress/upstreams.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"bluebellhold/internal/entry"
 	"bluebellhold/store"
 )
@@ -17,6 +19,7 @@
 	removeAt            map[string]time.Time
 	readAt, recoveredAt time.Time
 	eras                eraTracker
+	odd                 oddRows
 }
 
 // departedUpstream is an upstream whose row was removed.
@@ -31,6 +34,7 @@
 func newUpstreamRows() upstreamRows {
 	return upstreamRows{
 		known: make(map[string]UpstreamRow), departed: make(map[string]departedUpstream), removeAt: make(map[string]time.Time),
+		odd: newOddRows(),
 	}
 }
 
@@ -139,6 +143,7 @@
 	rows := &f.upstreamRows
 	previous, isKnown := rows.known[change.Name]
 	if change.Deleted {
+		rows.odd.forget(change.Name)
 		if !isKnown {
 			return false
 		}
@@ -152,10 +157,11 @@
 	}
 	u, err := f.config.RowDecoder.DecodeUpstreamRow(now, change.Name, change.Value)
 	if err != nil {
-		f.log.Warn("upstreams: invalid row; the upstream is ignored", "row", change.Name, "error", err)
+		rows.odd.report(f.log, log.WarnLevel, "upstreams: invalid row; the upstream is ignored", change.Name, err)
 		rows.remove(now, change.Name)
 		return isKnown
 	}
+	rows.odd.forget(change.Name)
 	if isRestored && rows.isOlder(change.Name, u) {
 		f.log.Info("upstreams: older row of a restored store ignored", "upstream", u.ID, "sequence", u.Sequence)
 		return false
