Bound the figures of upstreams' load reports

A load endpoint that reports running requests made the region's load 7.4e18, which falls by a quarter with each report, so that the headroom stays wrong for minutes after sound reports; the smallest integer overflowed the difference to the own requests. Figures are bounded to 0..10,000.

TestImpossibleLoadReportsAreBounded failed before: "{Running: ...} {...

--- a/balance/report.go
+++ b/balance/report.go
@@ -14,6 +14,9 @@
 	// freshHalfLives is the age in half-lives up to which Headroom does not discount a report. Reports arrive at least
 	// once a second, and the headroom would otherwise fall between any two of them.
 	freshHalfLives = 2
+
+	// maxReported bounds the figures of a report, so that impossible ones are forgotten soon.
+	maxReported = 10_000
 )
 
 // Load is an upstream's report of its own load.
@@ -36,16 +39,17 @@
 // RecordLoad records a load report, unless it is older than the last one.
 func (c *Chooser) RecordLoad(now time.Time, name id.Upstream, l Load) {
 	u := c.upstreams[name]
+	l.Running, l.Slots = min(max(l.Running, 0), maxReported), min(max(l.Slots, 0), maxReported)
 	at := now.Add(-max(l.Age, 0))
 	if u == nil || u.load.known && at.Before(u.load.measuredAt) {
 		return
 	}
-	inFlight := float64(max(l.Running, 0))
+	inFlight := float64(l.Running)
 	if u.load.known {
 		inFlight = ewma(u.load.inFlight, inFlight)
 	}
 	others := ewma(u.load.othersInFlight, max(0, float64(l.Running-u.inFlight)))
-	u.load.inFlight, u.load.slots, u.load.known = inFlight, max(l.Slots, 0), true
+	u.load.inFlight, u.load.slots, u.load.known = inFlight, l.Slots, true
 	c.setOthersLoad(u, others, at)
 	if !now.Before(u.health.unhealthyUntil) {
 		u.health.down = false
