Use the other entries of the platform's list when one is odd

Entries with a port out of range are left out with a log line. The body of a load endpoint is read up to 64 KiB only (no test: the reading is bounded by io.LimitReader).

--- a/backend.go
+++ b/backend.go
@@ -92,7 +92,8 @@
 	for _, row := range rows {
 		var head steering.Head
 		if err := json.Unmarshal(row.Value, &head); err != nil {
-			return nil, err
+			b.config.Log.Warn("note: a release's row can't be read", "row", row.Name)
+			continue
 		}
 		releases = append(releases, operator.Release{
 			Epoch: head.Epoch, Note: head.Note, Digest: head.Digest, Time: head.Time,
--- a/execute.go
+++ b/execute.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -127,6 +128,9 @@
 	return loaded
 }
 
+// maxLoadBytes bounds the response of a load endpoint.
+const maxLoadBytes = 64 << 10
+
 // probe reads the load endpoint of an upstream.
 func (i *Instance) probe(ctx context.Context, e steering.Probe) steering.LoadReported {
 	report := steering.LoadReported{Service: e.Service, Upstream: e.Upstream, Failed: true}
@@ -143,7 +147,7 @@
 		Running id.Slots `json:"running"`
 		Slots   id.Slots `json:"slots"`
 	}
-	if response.StatusCode != http.StatusOK || json.NewDecoder(response.Body).Decode(&load) != nil {
+	if response.StatusCode != http.StatusOK || json.NewDecoder(io.LimitReader(response.Body, maxLoadBytes)).Decode(&load) != nil {
 		return report
 	}
 	report.Running, report.Slots, report.Failed = load.Running, load.Slots, false
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -116,7 +116,11 @@
 	if err != nil {
 		return bluebellhold.Config{}, err
 	}
-	client := store.NewClient(store.ClientConfig{Address: s.PlatformURL, Instance: s.Name})
+	logger := log.NewWithOptions(w, log.Options{Level: level, ReportTimestamp: true, TimeFormat: time.RFC3339Nano})
+	client := store.NewClient(store.ClientConfig{
+		Address: s.PlatformURL, Instance: s.Name,
+		OnOddEntry: func(err error) { logger.Warn("fleet: odd entry in the list of instances", "error", err) },
+	})
 	config := bluebellhold.Config{
 		Self: store.Member{
 			Instance: s.Name, Region: s.Region, DataCentre: s.DataCentre, Caller: s.CallerAddress, Peer: s.PeerAddress,
@@ -127,7 +131,7 @@
 		Table:          client,
 		Objects:        client,
 		Directory:      client,
-		Log:            log.NewWithOptions(w, log.Options{Level: level, ReportTimestamp: true, TimeFormat: time.RFC3339Nano}),
+		Log:            logger,
 		FaultInjection: s.Testing,
 
 		MaxClaimedBody:  s.Limits.MaxClaimedBody,
--- a/store/client.go
+++ b/store/client.go
@@ -37,6 +37,8 @@
 	Timeout     time.Duration
 	MaxBodySize id.Bytes
 	HTTPClient  *http.Client
+	// OnOddEntry is called for each entry of the directory that can't be used; nil does nothing.
+	OnOddEntry func(err error)
 }
 
 // Client implements Table, Objects and Directory over HTTP with JSON.
@@ -60,6 +62,9 @@
 	if config.MaxBodySize <= 0 {
 		config.MaxBodySize = DefaultMaxBodySize
 	}
+	if config.OnOddEntry == nil {
+		config.OnOddEntry = func(error) {}
+	}
 	if config.HTTPClient == nil {
 		config.HTTPClient = newHTTPClient()
 	}
@@ -166,8 +171,9 @@
 // List returns the instances in the directory.
 func (c *Client) List(ctx context.Context) ([]Member, error) {
 	body, err := c.do(ctx, http.MethodGet, "/instances", nil)
+	// Entries are decoded one by one, so that the others hold if one can't be read.
 	var response struct {
-		Instances []Member `json:"instances"`
+		Instances []json.RawMessage `json:"instances"`
 	}
 	if err == nil {
 		err = json.Unmarshal(body, &response)
@@ -175,7 +181,16 @@
 	if err != nil {
 		return nil, &UnavailableError{Operation: "list", Cause: err}
 	}
-	return response.Instances, nil
+	members := make([]Member, 0, len(response.Instances))
+	for _, entry := range response.Instances {
+		m, err := decodeMember(entry)
+		if err != nil {
+			c.config.OnOddEntry(&EntryError{Instance: m.Instance, Cause: err})
+			continue
+		}
+		members = append(members, m)
+	}
+	return members, nil
 }
 
 // objectPath escapes slashes as well, so that a name stays a single path segment.
