Don't take a reset of an upstream for the end of its answer

In fleets run by release notes, an upstream that reset its connection in the middle of an answer without a length gave its caller the part that had come, as a whole answer.

Cause: the kernel reports the error of a socket once. guardedConn.Read waits until the socket is readable by peeking at it, which took the reset; the read after it returned EOF, and EOF ends such a body. The error of the peek is now returned by Read.

What can't be told apart remains: an answer without a length that ends regularly, but too early.

--- /dev/null
+++ b/internal/gateway/cut_test.go
@@ -0,0 +1,99 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhold/internal/gateway"
+	"bluebellhold/internal/steering"
+)
+
+// wholeAnswers are answers of upstreams by their framing, and the bodies that callers get.
+var wholeAnswers = []struct {
+	name, answer, body string
+	status             int
+}{
+	{"length", "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 12\r\n\r\nwhole answer", "whole answer", 200},
+	{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nwhole \r\n6\r\nanswer\r\n0\r\n\r\n", "whole answer", 200},
+	{"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\nc\r\nwhole answer\r\n0\r\nX-T: t\r\n\r\n", "whole answer", 200},
+	{"interim", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nwhole answer", "whole answer", 200},
+	{"empty", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "", 200},
+	{"no content", "HTTP/1.1 204 No Content\r\nX-A: b\r\n\r\n", "", 204},
+	{"not modified", "HTTP/1.1 304 Not Modified\r\nContent-Length: 12\r\n\r\n", "", 304},
+	{"both lengths", "HTTP/1.1 200 OK\r\nContent-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\nc\r\nwhole answer\r\n0\r\n\r\n", "whole answer", 200},
+	{"close", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole answer", "whole answer", 200},
+	{"http/1.0", "HTTP/1.0 200 OK\r\n\r\nwhole answer", "whole answer", 200},
+}
+
+// Guards against an answer of an upstream that is cut at any byte, by the end or a reset of its connection, and reaches the
+// caller as a success. The end of a connection may delimit a body without a length; a reset never does.
+func TestCutAnswerIsNeverASuccess(t *testing.T) {
+	e := &engine{attemptTimeout: 5 * time.Second}
+	e.upstream = serveTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
+		for {
+			request, _ := readRequest(r)
+			if request == nil {
+				return
+			}
+			if request.URL.Path == "/prime" {
+				_, _ = io.WriteString(c, okResponse)
+				continue
+			}
+			parts := strings.Split(strings.TrimPrefix(request.URL.Path, "/"), "/")
+			answer, _ := strconv.Atoi(parts[0])
+			cut, _ := strconv.Atoi(parts[1])
+			_, _ = io.WriteString(c, wholeAnswers[answer].answer[:cut])
+			if parts[2] == "reset" {
+				// The bytes arrive before the reset.
+				time.Sleep(time.Millisecond)
+				resetConn(c)
+			}
+			return
+		}
+	})
+	address := e.start(t, gateway.Config{})
+	for n, whole := range wholeAnswers {
+		for _, end := range []string{"end", "reset"} {
+			for _, isKept := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%s/kept=%v", whole.name, end, isKept), func(t *testing.T) {
+					isDelimitedByEnd := whole.name == "close" || whole.name == "http/1.0"
+					headLength := strings.Index(whole.answer, "\r\n\r\n") + 4
+					for cut := range len(whole.answer) + 1 {
+						if isKept {
+							_, _, complete := sendRaw(t, address, getRequest("/prime")).readResponse(t, http.MethodGet)
+							require.True(t, complete)
+							require.IsType(t, steering.Answered{}, e.nextOutcome(t))
+						}
+						c := sendRaw(t, address, getRequest(fmt.Sprintf("/%d/%d/%s", n, cut, end)))
+						response, body, complete := c.readResponse(t, http.MethodGet)
+						c.Close()
+						outcome := e.nextOutcome(t)
+						if !complete || response.StatusCode >= http.StatusInternalServerError {
+							require.IsType(t, steering.Broken{}, outcome)
+							require.True(t, cut < len(whole.answer) || end == "reset", "the whole answer is refused")
+							continue
+						}
+						require.IsType(t, steering.Answered{}, outcome)
+						require.Equal(t, whole.status, response.StatusCode)
+						if isDelimitedByEnd {
+							require.Equal(t, "end", end, "cut at %d of %d", cut, len(whole.answer))
+							require.GreaterOrEqual(t, cut, headLength)
+							continue
+						}
+						require.Equal(t, whole.body, string(body), "cut at %d of %d", cut, len(whole.answer))
+						require.Equal(t, len(whole.answer), cut)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/gateway/transport.go
+++ b/internal/gateway/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -102,9 +103,17 @@
 	if buffered, ok := c.Conn.(interface{ Buffered() int }); ok && buffered.Buffered() > 0 {
 		return c.Conn.Read(b)
 	}
+	var peekErr error
 	c.setReadWaiting(true)
-	err := c.raw.Read(tcp.IsReadable)
+	err := c.raw.Read(func(fd uintptr) bool {
+		var isReadable bool
+		isReadable, peekErr = tcp.Peek(fd)
+		return isReadable || peekErr != nil
+	})
 	c.setReadWaiting(false)
+	if err == nil && peekErr != nil {
+		err = &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: os.NewSyscallError("recvfrom", peekErr)}
+	}
 	if err != nil {
 		return 0, err
 	}
--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -2,9 +2,16 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"time"
 
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+
 	"bluebellhold/id"
+	"bluebellhold/internal/entry"
+	"bluebellhold/internal/tcp"
 	"bluebellhold/internal/wire"
 	"bluebellhold/store"
 )
@@ -74,3 +81,19 @@
 	}
 	return last.version, string(last.value), nil
 }
+
+// ReadAnswer reads the answer to a request on a connection that has carried a number of other requests. It returns the
+// outcome, and the answer that the caller gets unless status is 0.
+func ReadAnswer(conn tcp.Conn, codec HeaderCodec, r *http.Request, carried int) (outcome entry.AttemptOutcome, status int, body []byte) {
+	registry := metrics.NewRegistry()
+	i := &Instance{config: Config{HeaderCodec: codec}, pool: newPool(registry), requestLog: newRequestLog(log.New(io.Discard))}
+	defer i.requestLog.close()
+	x := &exchange{Instance: i, r: r, callerHeaders: codec.ParseCallerHeaders(r.Header)}
+	c := newUpstreamConnection(conn)
+	c.requests = carried + 1
+	outcome, _ = x.readOutcome(c, time.Now())
+	if _, isAnswered := outcome.(entry.Answered); isAnswered {
+		return outcome, x.response.status, x.response.body
+	}
+	return outcome, 0, nil
+}
--- a/internal/tcp/option.go
+++ b/internal/tcp/option.go
@@ -35,11 +35,24 @@
 	syscall.Conn
 }
 
-// IsReadable reports whether a read of the socket would return immediately, with bytes, EOF or an error.
+// IsReadable reports whether a read of the socket would return immediately, with bytes, EOF or an error. It must not be used
+// on a connection that is read afterwards; see Peek.
 func IsReadable(fd uintptr) bool {
+	isReadable, err := Peek(fd)
+	return isReadable || err != nil
+}
+
+// Peek reports whether the socket has bytes or EOF to read, or returns its error.
+//
+// The kernel reports an error once: after Peek has returned a reset, a read returns EOF, as if the peer had ended the
+// connection regularly. So the reader must be given the error.
+func Peek(fd uintptr) (isReadable bool, err error) {
 	var b [1]byte
-	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return err != syscall.EAGAIN && err != syscall.EINTR
+	_, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	if err == syscall.EAGAIN || err == syscall.EINTR {
+		return false, nil
+	}
+	return err == nil, err
 }
 
 // IsQuiescent reports whether the connection is open and has no unread input.
