Don't take a reset that the writer got for the end of an answer

An upstream that answers before it has read a long body and then resets the connection gave the reset to the goroutine that wrote the body; the one that read the answer got EOF, and an answer without a length looked whole.

tcp.ResetGuard serialises the end of a read with the write in progress and returns the writer's error. Ruled out: requests of internal/ingress without a tunnel, which are written in one call before the answer is read, and answers with a length or in chunks, whose end is not that of the connection.

Before: TestResetDuringALongRequestIsNeverASuccess: "Should be false", `got "half"`, in the first rounds of 300 on real sockets; TestResetSeenByTheWriterDoesNotLookLikeTheEndOfAResponse: "An error is expected but got nil.".

--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -97,3 +97,31 @@
 		}
 	}
 }
+
+// Guards against a reset that reaches the writer of a long request body and then looks like the end of an answer without a
+// length.
+func TestResetDuringALongRequestIsNeverASuccess(t *testing.T) {
+	const rounds = 300
+	e := &engine{attemptTimeout: 5 * time.Second, upstream: serveTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf")
+		time.Sleep(time.Millisecond)
+		// The rest of the body is unread.
+		resetConn(c)
+	})}
+	address := e.start(t, gateway.Config{})
+	body := strings.Repeat("b", 4<<20)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for range rounds {
+		request, err := http.NewRequest(http.MethodPost, "http://"+address+"/service/pregled/a", strings.NewReader(body))
+		require.NoError(t, err)
+		if response, err := client.Do(request); err == nil {
+			text, err := io.ReadAll(response.Body)
+			response.Body.Close()
+			require.False(t, err == nil && response.StatusCode == http.StatusOK, "got %q", text)
+		}
+		require.NotEqual(t, "steering.Answered", fmt.Sprintf("%T", e.nextOutcome(t)))
+	}
+}
--- a/internal/gateway/transport.go
+++ b/internal/gateway/transport.go
@@ -74,6 +74,7 @@
 // the upstream sent after its previous response would be interpreted as the response to this attempt.
 type guardedConn struct {
 	tcp.Conn
+	reset    tcp.ResetGuard
 	raw      syscall.RawConn
 	mu       sync.Mutex
 	cond     *sync.Cond
@@ -117,7 +118,8 @@
 	if err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(b)
+	n, err := c.Conn.Read(b)
+	return n, c.reset.CheckEnd(err)
 }
 
 func (c *guardedConn) setReadWaiting(waiting bool) {
@@ -134,10 +136,10 @@
 		return 0, err
 	}
 	if guard == nil {
-		return c.Conn.Write(b)
+		return c.reset.Write(c.Conn, b)
 	}
 	alreadySent := guard.sent.Swap(true)
-	n, err := c.Conn.Write(b)
+	n, err := c.reset.Write(c.Conn, b)
 	if n == 0 {
 		guard.sent.Store(alreadySent)
 	}
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -200,28 +200,39 @@
 	})
 	defer stop()
 	var copying sync.WaitGroup
-	copying.Go(func() { copyRequests(upstream, a.conn) })
-	copyResponses(a.conn, upstream)
+	var guard tcp.ResetGuard
+	copying.Go(func() { copyRequests(upstream, a.conn, &guard) })
+	copyResponses(a.conn, upstream, &guard)
 	copying.Wait()
 }
 
 // copyRequests copies the bytes of the peer to the upstream. When the peer closes its side, the upstream is to stop its
 // work.
-func copyRequests(upstream, conn net.Conn) {
+func copyRequests(upstream, conn net.Conn, guard *tcp.ResetGuard) {
 	// The wrappers hide the methods with which io.CopyBuffer would not use the buffer.
-	_, _ = io.CopyBuffer(struct{ io.Writer }{upstream}, struct{ io.Reader }{conn}, make([]byte, maxChunkSize))
+	_, _ = io.CopyBuffer(guardedWriter{upstream, guard}, struct{ io.Reader }{conn}, make([]byte, maxChunkSize))
 	_ = upstream.Close()
 	_ = conn.Close()
 }
 
+// guardedWriter writes to an upstream.
+type guardedWriter struct {
+	upstream net.Conn
+	guard    *tcp.ResetGuard
+}
+
+// Write writes to the upstream.
+func (w guardedWriter) Write(b []byte) (int, error) { return w.guard.Write(w.upstream, b) }
+
 // copyResponses copies the bytes of the upstream to the peer in chunks. An empty chunk tells the peer that the upstream has
 // closed the connection; without it, the connection counts as broken.
-func copyResponses(conn, upstream net.Conn) {
+func copyResponses(conn, upstream net.Conn, guard *tcp.ResetGuard) {
 	defer upstream.Close()
 	defer conn.Close()
 	buffer := make([]byte, lengthPrefixSize+maxChunkSize)
 	for {
 		n, err := upstream.Read(buffer[lengthPrefixSize:])
+		err = guard.CheckEnd(err)
 		if n > 0 {
 			binary.BigEndian.PutUint32(buffer, uint32(n))
 			if _, err := conn.Write(buffer[:lengthPrefixSize+n]); err != nil {
--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -166,3 +167,49 @@
 	require.Error(t, err)
 	require.Empty(t, p.upstreams)
 }
+
+// resetInWrite is a connection whose reset is reported to the writer, so that the reader sees an end.
+type resetInWrite struct {
+	net.Conn
+	half   chan struct{}
+	failed chan struct{}
+}
+
+func (c *resetInWrite) Write([]byte) (int, error) {
+	<-c.half
+	close(c.failed)
+	// The reader sees the end before the writer has returned.
+	time.Sleep(50 * time.Millisecond)
+	return 0, &net.OpError{Op: "write", Err: syscall.ECONNRESET}
+}
+
+func (c *resetInWrite) Read(b []byte) (int, error) {
+	select {
+	case <-c.half:
+		<-c.failed
+		return 0, io.EOF
+	default:
+		close(c.half)
+		return copy(b, "half"), nil
+	}
+}
+
+// Guards against a reset of the upstream's connection that reaches the writer of a request and then looks like the end of the
+// response.
+func TestResetSeenByTheWriterDoesNotLookLikeTheEndOfAResponse(t *testing.T) {
+	a := startInstance(t, "osrednja-1", nil)
+	b := startInstance(t, "koper-1", func(c *peer.Config) {
+		c.OnTunnel = func(context.Context, id.Instance, peer.TunnelTarget) (net.Conn, error) {
+			conn, _ := net.Pipe()
+			return &resetInWrite{Conn: conn, half: make(chan struct{}), failed: make(chan struct{})}, nil
+		}
+	})
+	conn, err := a.OpenTunnel(context.Background(), "koper-1", b.Address(), tunnelTarget)
+	require.NoError(t, err)
+	defer conn.Close()
+	writeString(t, conn, "request")
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	received, err := io.ReadAll(conn)
+	require.Equal(t, "half", string(received))
+	require.Error(t, err)
+}
