--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -98,7 +98,10 @@
 	if err != nil {
 		return err
 	}
-	config, err := instanceConfig(s)
+	var logs *logwriter.Writer
+	config, err := instanceConfig(s, func(err error) {
+		logs.Logger().Warn("fleet: odd entry in the list of instances", "error", err)
+	})
 	if err != nil {
 		return err
 	}
@@ -110,12 +113,13 @@
 		_, err := fmt.Fprintln(to.messages, "settings are valid")
 		return err
 	}
-	config.Log = logwriter.New(logwriter.Config{
+	logs = logwriter.New(logwriter.Config{
 		Output:  to.log,
 		Options: log.Options{Level: level, ReportTimestamp: true, TimeFormat: time.RFC3339Nano},
 	})
-	defer func() { config.Log.Close(time.Now().Add(lastLinesTimeout)) }()
-	logPassedOver(config.Log.Logger(), s.PassedOver)
+	defer func() { logs.Close(time.Now().Add(lastLinesTimeout)) }()
+	config.Log = logs
+	logPassedOver(logs.Logger(), s.PassedOver)
 	discardStandardLog()
 	// Callers can connect once the instance has been created.
 	signals := make(chan os.Signal, 2)
@@ -127,7 +131,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go handleSignals(signals, instance.Shutdown, func() {
-		config.Log.Logger().Warn("instance: interrupted again, exiting immediately")
+		logs.Logger().Warn("instance: interrupted again, exiting immediately")
 		cancel()
 	})
 	if err := instance.Run(ctx); err != nil {
@@ -163,8 +167,9 @@
 // which may be part of a response to an organisation or of a secret.
 func discardStandardLog() { stdlog.SetOutput(io.Discard) }
 
-func instanceConfig(s settings.Settings) (bluebellhold.Config, error) {
-	client := store.NewClient(store.ClientConfig{Address: s.PlatformURL, Instance: s.Name})
+// instanceConfig returns the configuration of an instance; onOddEntry is called for odd entries of the list of instances.
+func instanceConfig(s settings.Settings, onOddEntry func(error)) (bluebellhold.Config, error) {
+	client := store.NewClient(store.ClientConfig{Address: s.PlatformURL, Instance: s.Name, OnOddEntry: onOddEntry})
 	config := bluebellhold.Config{
 		Self: store.Member{
 			Instance: s.Name, Region: s.Region, DataCentre: s.DataCentre, Caller: s.CallerAddress, Peer: s.PeerAddress,
--- a/internal/gateway/transport.go
+++ b/internal/gateway/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -82,6 +83,7 @@
 // the upstream sent after its previous response would be interpreted as the response to this attempt.
 type guardedConn struct {
 	tcp.Conn
+	reset    tcp.ResetGuard
 	raw      syscall.RawConn
 	mu       sync.Mutex
 	cond     *sync.Cond
@@ -113,13 +115,22 @@
 	if buffered, ok := c.Conn.(interface{ Buffered() int }); ok && buffered.Buffered() > 0 {
 		return c.Conn.Read(b)
 	}
+	var peekErr error
 	c.setReadWaiting(true)
-	err := c.raw.Read(tcp.IsReadable)
+	err := c.raw.Read(func(fd uintptr) bool {
+		var isReadable bool
+		isReadable, peekErr = tcp.Peek(fd)
+		return isReadable || peekErr != nil
+	})
 	c.setReadWaiting(false)
+	if err == nil && peekErr != nil {
+		err = &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: os.NewSyscallError("recvfrom", peekErr)}
+	}
 	if err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(b)
+	n, err := c.Conn.Read(b)
+	return n, c.reset.CheckEnd(err)
 }
 
 func (c *guardedConn) setReadWaiting(waiting bool) {
@@ -136,10 +147,10 @@
 		return 0, err
 	}
 	if guard == nil {
-		return c.Conn.Write(b)
+		return c.reset.Write(c.Conn, b)
 	}
 	alreadySent := guard.sent.Swap(true)
-	n, err := c.Conn.Write(b)
+	n, err := c.reset.Write(c.Conn, b)
 	if n == 0 {
 		guard.sent.Store(alreadySent)
 	}
--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -1,11 +1,20 @@
 package ingress
 
 import (
+	"bytes"
 	"context"
+	"io"
+	"net/http"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"bluebellhold/id"
+	"bluebellhold/internal/entry"
+	"bluebellhold/internal/memory"
+	"bluebellhold/internal/tcp"
 	"bluebellhold/internal/wire"
+	"bluebellhold/logwriter"
 	"bluebellhold/store"
 )
 
@@ -81,3 +90,29 @@
 	}
 	return last.version, string(last.value), nil
 }
+
+// ReadAnswer reads the answer to a request on a connection that has carried a number of other requests. It returns the
+// outcome, and the answer that the caller gets unless status is 0.
+func ReadAnswer(conn tcp.Conn, codec HeaderCodec, r *http.Request, carried int) (outcome entry.AttemptOutcome, status int, body []byte) {
+	registry := metrics.NewRegistry()
+	logs := logwriter.New(logwriter.Config{Output: io.Discard})
+	defer logs.Close(time.Now().Add(time.Second))
+	i := &Instance{
+		config: Config{HeaderCodec: codec}, pool: newPool(registry), requestLog: newRequestLog(logs),
+		memory: memory.New(answerMemory, registry),
+	}
+	x := &exchange{Instance: i, r: r, callerHeaders: codec.ParseCallerHeaders(r.Header)}
+	c := newUpstreamConnection(conn)
+	c.requests = carried + 1
+	outcome, _ = x.readOutcome(c, time.Now())
+	if _, isAnswered := outcome.(entry.Answered); isAnswered {
+		var b bytes.Buffer
+		// Writing to a buffer never fails.
+		_, _ = x.response.body.WriteTo(&b)
+		return outcome, x.response.status, b.Bytes()
+	}
+	return outcome, 0, nil
+}
+
+// answerMemory is the memory for the answers of ReadAnswer.
+const answerMemory = id.Bytes(64 << 20)
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -221,8 +221,9 @@
 	})
 	defer stop()
 	var copying sync.WaitGroup
-	copying.Go(func() { copyRequests(upstream, a.conn) })
-	copyResponses(a.conn, upstream)
+	var guard tcp.ResetGuard
+	copying.Go(func() { copyRequests(upstream, a.conn, &guard) })
+	copyResponses(a.conn, upstream, &guard)
 	copying.Wait()
 }
 
@@ -233,13 +234,13 @@
 // copyRequests copies the bytes of the peer to the upstream. When the peer closes its side, the upstream is to stop its
 // work. Unless the peer closes it regularly, it has given up its request, and the upstream's connection is reset, so that
 // nothing of the request is delivered any more.
-func copyRequests(upstream, conn net.Conn) {
+func copyRequests(upstream, conn net.Conn, guard *tcp.ResetGuard) {
 	defer upstream.Close()
 	defer conn.Close()
 	buffer := make([]byte, maxChunkSize)
 	for {
 		n, err := conn.Read(buffer)
-		if n > 0 && !writeRequest(upstream, conn, buffer[:n]) {
+		if n > 0 && !writeRequest(upstream, conn, guard, buffer[:n]) {
 			tcp.Abort(upstream)
 			return
 		}
@@ -256,12 +257,12 @@
 
 // writeRequest writes bytes of the peer to the upstream, and reports whether it could before the peer reset its connection.
 // Bytes that were received before a reset could still be read after it.
-func writeRequest(upstream, conn net.Conn, b []byte) bool {
+func writeRequest(upstream, conn net.Conn, guard *tcp.ResetGuard, b []byte) bool {
 	for {
 		if tcp.IsReset(conn) || upstream.SetWriteDeadline(time.Now().Add(resetCheckInterval)) != nil {
 			return false
 		}
-		n, err := upstream.Write(b)
+		n, err := guard.Write(upstream, b)
 		if err == nil {
 			return true
 		}
@@ -275,13 +276,14 @@
 // copyResponses copies the bytes of the upstream to the peer in chunks. An empty chunk tells the peer that the upstream has
 // closed the connection; without it, the connection counts as broken. Afterwards nobody reads what the upstream sends, so
 // that its connection is reset, unless the peer has closed it regularly.
-func copyResponses(conn, upstream net.Conn) {
+func copyResponses(conn, upstream net.Conn, guard *tcp.ResetGuard) {
 	defer upstream.Close()
 	defer tcp.Abort(upstream)
 	defer conn.Close()
 	buffer := make([]byte, lengthPrefixSize+maxChunkSize)
 	for {
 		n, err := upstream.Read(buffer[lengthPrefixSize:])
+		err = guard.CheckEnd(err)
 		if n > 0 {
 			binary.BigEndian.PutUint32(buffer, uint32(n))
 			if _, err := conn.Write(buffer[:lengthPrefixSize+n]); err != nil {
