Fuzz the decoders of heartbeats and groups' rows

The decoders become functions of a row, so that FuzzOwnRows can pass what they accept to the reducer and check that what it would publish can be encoded and that no share exceeds a limit. A heartbeat whose peer address has no valid port counts as one without sessions.

--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -25,6 +25,12 @@
 	DecompressMessage = decompressMessage
 )
 
+// DecodeHeartbeat and DecodeGroupRow give tests access to the decoders of the instances' own rows.
+var (
+	DecodeHeartbeat = decodeHeartbeat
+	DecodeGroupRow  = decodeGroupRow
+)
+
 // Relay gives tests access to what a coordinator remembers of a table.
 type Relay struct{ table *relayedTable }
 
--- a/internal/ingress/groups.go
+++ b/internal/ingress/groups.go
@@ -148,20 +148,28 @@
 func (f *follower) decodeGroupRows(rows map[string]store.Change) []entry.GroupRow {
 	groups := make([]entry.GroupRow, 0, len(rows))
 	for name, change := range rows {
-		var row groupRow
-		err := json.Unmarshal(change.Value, &row)
-		if err == nil {
-			err = row.check()
-		}
+		group, err := decodeGroupRow(name, change)
 		if err != nil {
 			f.groupRows.odd.report(f.log, log.WarnLevel, "groups: invalid row", name, err)
 			continue
 		}
 		f.groupRows.odd.forget(name)
-		groups = append(groups, entry.GroupRow{
-			Group: id.Group(name), Version: change.Version, Writer: row.Writer, StartTime: row.StartTime, Size: row.Size,
-			Demand: row.Demand, Shares: row.Shares, IsRestored: isRestored(row.Era, change),
-		})
+		groups = append(groups, group)
 	}
 	return groups
 }
+
+// decodeGroupRow decodes the row of a group.
+func decodeGroupRow(name string, change store.Change) (entry.GroupRow, error) {
+	var row groupRow
+	if err := json.Unmarshal(change.Value, &row); err != nil {
+		return entry.GroupRow{}, err
+	}
+	if err := row.check(); err != nil {
+		return entry.GroupRow{}, err
+	}
+	return entry.GroupRow{
+		Group: id.Group(name), Version: change.Version, Writer: row.Writer, StartTime: row.StartTime, Size: row.Size,
+		Demand: row.Demand, Shares: row.Shares, IsRestored: isRestored(row.Era, change),
+	}, nil
+}
--- a/internal/ingress/heartbeat.go
+++ b/internal/ingress/heartbeat.go
@@ -259,16 +259,27 @@
 		delete(f.knownMembers, change.Name)
 		return
 	}
-	var heartbeat heartbeatRow
-	err := json.Unmarshal(change.Value, &heartbeat)
-	if err == nil && !isAddress(heartbeat.Address) {
-		err = &RowValueError{Field: "address"}
-	}
+	member, err := decodeHeartbeat(change)
 	if err != nil {
 		f.oddMembers.report(f.log, log.WarnLevel, "members: invalid row", change.Name, err)
 		return
 	}
 	f.oddMembers.forget(change.Name)
+	f.knownMembers[change.Name] = member
+}
+
+// decodeHeartbeat decodes the heartbeat of an instance. Values that make no sense are left out.
+func decodeHeartbeat(change store.Change) (entry.Member, error) {
+	var heartbeat heartbeatRow
+	if err := json.Unmarshal(change.Value, &heartbeat); err != nil {
+		return entry.Member{}, err
+	}
+	if !isAddress(heartbeat.Address) {
+		return entry.Member{}, &RowValueError{Field: "address"}
+	}
+	if !isAddress(heartbeat.PeerAddress) {
+		heartbeat.PeerAddress = ""
+	}
 	var suspects []retry.Report
 	for _, s := range heartbeat.Suspects {
 		if age := ageOf(s.AgeMillis); age >= 0 {
@@ -285,7 +296,7 @@
 		// The instance does not know eras; it has read this one.
 		heartbeat.ReadVersion = store.VersionInEra(store.EraOf(change.Version), heartbeat.ReadVersion)
 	}
-	f.knownMembers[change.Name] = entry.Member{
+	return entry.Member{
 		Instance: id.Instance(change.Name), Region: heartbeat.Region, DataCentre: heartbeat.DataCentre,
 		Address: heartbeat.Address, PeerAddress: heartbeat.PeerAddress, Capacity: heartbeat.Capacity, Vouched: heartbeat.Vouched,
 		Leaving: heartbeat.Leaving, Version: change.Version, ReadVersion: heartbeat.ReadVersion,
@@ -293,5 +304,5 @@
 		PinnedLoad: possiblePinnedLoads(heartbeat.PinnedLoad), LocalShares: possibleShares(heartbeat.LocalShares),
 		Suspects: suspects, Limits: possibleLimits(heartbeat.Limits), Leavers: leavers, Severed: heartbeat.Severed,
 		IsRestored: isRestored(heartbeat.Era, change),
-	}
+	}, nil
 }
--- a/internal/ingress/odd_rows_test.go
+++ b/internal/ingress/odd_rows_test.go
@@ -11,7 +11,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"bluebellhold/id"
+	"bluebellhold/internal/entry"
+	"bluebellhold/internal/ingress"
 	"bluebellhold/platform"
+	"bluebellhold/store"
 )
 
 // oddRowValues are values of rows that another writer may leave.
@@ -141,3 +145,44 @@
 		}
 	}
 }
+
+// Guards against a row of the instances' own tables that ends the process, whatever its bytes, or makes values that can't be
+// published.
+func FuzzOwnRows(f *testing.F) {
+	f.Add([]byte(oddMember), []byte(oddGroup))
+	f.Add([]byte(`{"address":"10.0.0.7:80","region":"koper","peer":"10.0.0.7:81","started":3,"work":{"pregled":2},"vouched":["koper-2"],"severed":["koper-1"]}`),
+		[]byte(`{"writer":"osrednja-1","started":1,"size":3,"demand":{"school":7.5},"held":{"school":0.4}}`))
+	f.Add([]byte("null"), []byte("null"))
+	f.Fuzz(func(t *testing.T, heartbeat, group []byte) {
+		now := time.Unix(1000, 0)
+		s := entry.New(entry.Config{Instance: "osrednja-1", Region: "osrednja", DataCentre: "osrednja-a", StartTime: 1})
+		s.Reduce(now, entry.ConfigurationChanged{Configuration: entry.Configuration{
+			Version: 1, Organisations: map[id.Organisation]entry.Organisation{"school": {Rate: 10}}, Services: map[id.Service]entry.Service{"pregled": {}},
+		}})
+		s.Reduce(now, entry.UpstreamsChanged{Upstreams: []entry.Upstream{{ID: "u0", Service: "pregled", Region: "osrednja", Slots: 4, Incarnation: 5}}})
+		for n := range uint64(4) {
+			now = now.Add(2 * time.Second)
+			members := []entry.Member{{Instance: "osrednja-1", Version: n + 1, StartTime: 1}}
+			for _, name := range []string{"koper-1", "osrednja-1"} {
+				if m, err := ingress.DecodeHeartbeat(store.Change{Name: name, Version: n + 1, Value: heartbeat}); err == nil {
+					members = append(members, m)
+				}
+			}
+			s.Reduce(now, entry.MembersRead{Members: members})
+			groups := []entry.GroupRow{{Group: "osrednja", Writer: "osrednja-1", StartTime: 1, Version: n + 1, Size: 1}}
+			if g, err := ingress.DecodeGroupRow("koper", store.Change{Name: "koper", Version: n + 1, Value: group}); err == nil {
+				groups = append(groups, g)
+			}
+			s.Reduce(now, entry.GroupsRead{Groups: groups})
+			s.Reduce(now, entry.Tick{})
+			row, _ := s.GroupRow(now)
+			for _, values := range []any{row.Demand, row.Shares, s.OfferedLoad(now), s.PinnedLoad(now), s.LocalShares()} {
+				_, err := json.Marshal(values)
+				require.NoError(t, err)
+			}
+			for _, share := range row.Shares {
+				require.True(t, share >= 0 && share <= 1.01, share)
+			}
+		}
+	})
+}
