--- a/internal/ingress/heartbeat.go
+++ b/internal/ingress/heartbeat.go
@@ -277,6 +277,9 @@
 	if !isAddress(heartbeat.Address) {
 		return entry.Member{}, &RowValueError{Field: "address"}
 	}
+	if !isAddress(heartbeat.PeerAddress) {
+		heartbeat.PeerAddress = ""
+	}
 	var suspects []retry.Report
 	for _, s := range heartbeat.Suspects {
 		if age := ageOf(s.AgeMillis); age >= 0 {
