Reset connections whose last request has no complete answer

Connections to upstreams and to the store, and tunnels, are now dialled so that their close is a reset, also that by the end of the process. Only a connection that carried no request, or whose last request has a complete answer, is closed regularly.

Ruled out: TCP_USER_TIMEOUT, which bounds unacknowledged data of open connections only, and is longer than a deadline. Sessions between instances stay closed regularly: both sides close a silent one within 3 s, so that nothing held up is read later. Writes to the store that are performed late break no promise, since they are conditional; docs/design.md says why.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -54,6 +54,7 @@
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(headerOutcome) == string(steering.NotRun) {
 		_, _ = io.CopyN(io.Discard, response.Body, int64(MaxBufferedBody))
+		a.guard.end()
 		a.end(steering.Shed{Rest: retry.ParseAfter(response.Header.Get("Retry-After"))})
 		return false
 	}
@@ -206,6 +207,7 @@
 		return false
 	}
 	if complete {
+		a.guard.end()
 		// The attempt ends before the response is written, so that a slow caller does not occupy the upstream's slot.
 		a.end(steering.Answered{Response: a.storedResponse(response, prefix, false), Size: id.Bytes(len(prefix))})
 		a.observeLatency()
@@ -262,6 +264,7 @@
 		a.end(a.classifyError(err, true))
 		a.abortResponse()
 	}
+	a.guard.end()
 	a.end(steering.Answered{Response: a.storedResponse(response, nil, true), Size: size})
 	a.observeLatency()
 }
--- a/internal/gateway/transport.go
+++ b/internal/gateway/transport.go
@@ -19,7 +19,7 @@
 
 // dialDirect connects to an upstream of this instance's own accord.
 func dialDirect(ctx context.Context, _ id.Upstream, address string) (tcp.Conn, error) {
-	dialer := net.Dialer{Timeout: connectTimeout, Control: tcp.LimitUnacknowledged}
+	dialer := net.Dialer{Timeout: connectTimeout, Control: tcp.ControlRequests}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -58,11 +58,20 @@
 	connected atomic.Bool
 	// earlyResponse is set if the upstream's response began before the attempt's first write on the connection.
 	earlyResponse atomic.Bool
+	// conn is the connection of the attempt.
+	conn atomic.Pointer[guardedConn]
 	// stopBody stops a read of the caller's body, for which the transport would otherwise wait after the connection has
 	// closed.
 	stopBody func()
 }
 
+// end records that the complete answer to the attempt has been read.
+func (g *sendGuard) end() {
+	if conn := g.conn.Load(); conn != nil {
+		conn.endAttempt(g)
+	}
+}
+
 // guardedConn checks the first write of an attempt.
 //
 // The write fails after the attempt's dispatch deadline. The deadline is checked immediately before the write because a
@@ -80,6 +89,8 @@
 	stopBody func()
 	// firstWritePending is set until the attempt's first write.
 	firstWritePending bool
+	// isPending is set from the first write of an attempt until its complete answer has been read.
+	isPending bool
 	// readWaiting is set while a read waits for the socket; the transport has then consumed all earlier bytes.
 	readWaiting bool
 	closed      bool
@@ -156,21 +167,41 @@
 	if time.Now().After(c.guard.dispatchBy) {
 		return nil, &DispatchDeadlineError{}
 	}
-	c.firstWritePending = false
+	c.firstWritePending, c.isPending = false, true
 	return c.guard, nil
 }
 
-// Close closes the connection, wakes a waiting write and stops the read of the caller's body.
+// Close closes the connection, wakes a waiting write and stops the read of the caller's body. If the last attempt has no
+// complete answer, it resets the connection, so that an upstream does not receive and run later what has been given up.
 func (c *guardedConn) Close() error {
-	err := c.Conn.Close()
+	isPending, stopBody := c.markClosed()
+	if stopBody != nil {
+		defer stopBody()
+	}
+	if isPending {
+		tcp.Abort(c.Conn)
+		return nil
+	}
+	return tcp.Close(c.Conn)
+}
+
+// markClosed prevents the first write of an attempt from now on.
+func (c *guardedConn) markClosed() (isPending bool, stopBody func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
 	c.cond.Signal()
-	if c.stopBody != nil {
-		c.stopBody()
+	return c.isPending, c.stopBody
+}
+
+// endAttempt records that the complete answer to an attempt has been read. The transport may have started the next one on
+// the connection by then.
+func (c *guardedConn) endAttempt(guard *sendGuard) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.guard == guard {
+		c.isPending = false
 	}
-	return err
 }
 
 func (c *guardedConn) startAttempt(guard *sendGuard) {
@@ -190,19 +221,18 @@
 
 // withGuard returns a context that attaches the guard to each connection that the transport picks for the request.
 func withGuard(ctx context.Context, guard *sendGuard) context.Context {
-	// The transport may still report the first response byte of a connection that it has discarded while it gets the
-	// next one.
-	var currentConn atomic.Pointer[guardedConn]
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			conn := info.Conn.(*guardedConn)
-			currentConn.Store(conn)
+			guard.conn.Store(conn)
 			guard.reused.Store(info.Reused)
 			guard.connected.Store(guard.connected.Load() || !info.Reused)
 			guard.earlyResponse.Store(false)
 			conn.startAttempt(guard)
 		},
-		GotFirstResponseByte: func() { currentConn.Load().markEarlyResponse() },
+		// The transport may still report the first response byte of a connection that it has discarded while it gets the
+		// next one.
+		GotFirstResponseByte: func() { guard.conn.Load().markEarlyResponse() },
 	})
 }
 
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -78,6 +78,7 @@
 	}
 	// Set after the deadline, since SetDeadline would undo an interruption.
 	x.setAbort(c.interrupt)
+	c.isPending = true
 	n, err := c.conn.Write(x.encodeRequest(d))
 	if err != nil {
 		if n == 0 && !x.isCancelled() {
@@ -86,6 +87,7 @@
 		return x.classifyError(startedAt, err), false
 	}
 	outcome, isReusable = x.readOutcome(c, startedAt)
+	c.isPending = !isComplete(outcome)
 	if isReusable {
 		x.keepAlive, c.isReused = c.idleTimeout, true
 		x.pool.put(d, c)
@@ -93,6 +95,15 @@
 	return outcome, false
 }
 
+// isComplete reports whether an outcome is a complete answer to the request, after which the upstream has nothing left to do.
+func isComplete(outcome entry.AttemptOutcome) bool {
+	switch outcome.(type) {
+	case entry.Answered, entry.Shed, entry.Misdirected:
+		return true
+	}
+	return false
+}
+
 // acquire returns an idle or a new connection to the upstream.
 func (x *exchange) acquire(d entry.Dispatch) (*upstreamConnection, error) {
 	if x.isFar {
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -62,6 +62,8 @@
 	reader   *bufio.Reader
 	head     *headReader
 	isReused bool
+	// isPending is set from the start of a request until its complete answer has been read.
+	isPending bool
 	// isUnused is set on a connection of the pool that was opened ahead and has carried no request.
 	isUnused bool
 	// connectTime is how long opening it took; zero means that it is not known.
@@ -188,7 +190,7 @@
 
 // dialUpstream connects to an upstream directly.
 func dialUpstream(ctx context.Context, address string) (tcp.Conn, error) {
-	dialer := net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: tcp.LimitUnacknowledged}
+	dialer := net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: tcp.ControlRequests}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -284,6 +286,12 @@
 	_ = c.conn.SetDeadline(time.Unix(1, 0))
 }
 
+// close closes the connection. If its last request has no complete answer, the connection is reset: otherwise what is held
+// up on the way would reach the upstream later, and would run after its caller was told that it failed.
 func (c *upstreamConnection) close() {
-	_ = c.conn.Close()
+	if c.isPending {
+		tcp.Abort(c.conn)
+		return
+	}
+	_ = tcp.Close(c.conn)
 }
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -48,6 +49,9 @@
 // Buffered returns the number of bytes that the peer has announced and that have not been read.
 func (t *tunnel) Buffered() int { return t.remaining }
 
+// Close tells the peer that no request is left, so that the upstream still gets what was sent; tcp.Abort tells it the opposite.
+func (t *tunnel) Close() error { return tcp.Close(t.Conn) }
+
 // Write sends bytes to the upstream. TLS does not tell how much of a failed write was sent, so that at least one byte is
 // reported.
 func (t *tunnel) Write(b []byte) (int, error) {
@@ -101,7 +105,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, tunnelTimeout)
 	defer cancel()
-	dialer := net.Dialer{Timeout: connectTimeout, Control: tcp.LimitUnacknowledged, KeepAlive: -1}
+	dialer := net.Dialer{Timeout: connectTimeout, Control: tcp.ControlRequests, KeepAlive: -1}
 	rawConn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, &ConnectionError{Step: "dialling", Cause: err}
@@ -205,19 +209,58 @@
 	copying.Wait()
 }
 
+// resetCheckInterval is the time between two checks whether the peer has given up a request that the upstream does not
+// accept.
+const resetCheckInterval = 100 * time.Millisecond
+
 // copyRequests copies the bytes of the peer to the upstream. When the peer closes its side, the upstream is to stop its
-// work.
+// work. Unless the peer closes it regularly, it has given up its request, and the upstream's connection is reset, so that
+// nothing of the request is delivered any more.
 func copyRequests(upstream, conn net.Conn) {
-	// The wrappers hide the methods with which io.CopyBuffer would not use the buffer.
-	_, _ = io.CopyBuffer(struct{ io.Writer }{upstream}, struct{ io.Reader }{conn}, make([]byte, maxChunkSize))
-	_ = upstream.Close()
-	_ = conn.Close()
+	defer upstream.Close()
+	defer conn.Close()
+	buffer := make([]byte, maxChunkSize)
+	for {
+		n, err := conn.Read(buffer)
+		if n > 0 && !writeRequest(upstream, conn, buffer[:n]) {
+			tcp.Abort(upstream)
+			return
+		}
+		if err == io.EOF {
+			_ = tcp.Close(upstream)
+			return
+		}
+		if err != nil {
+			tcp.Abort(upstream)
+			return
+		}
+	}
+}
+
+// writeRequest writes bytes of the peer to the upstream, and reports whether it could before the peer reset its connection.
+// Bytes that were received before a reset could still be read after it.
+func writeRequest(upstream, conn net.Conn, b []byte) bool {
+	for {
+		if tcp.IsReset(conn) || upstream.SetWriteDeadline(time.Now().Add(resetCheckInterval)) != nil {
+			return false
+		}
+		n, err := upstream.Write(b)
+		if err == nil {
+			return true
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return false
+		}
+		b = b[n:]
+	}
 }
 
 // copyResponses copies the bytes of the upstream to the peer in chunks. An empty chunk tells the peer that the upstream has
-// closed the connection; without it, the connection counts as broken.
+// closed the connection; without it, the connection counts as broken. Afterwards nobody reads what the upstream sends, so
+// that its connection is reset, unless the peer has closed it regularly.
 func copyResponses(conn, upstream net.Conn) {
 	defer upstream.Close()
+	defer tcp.Abort(upstream)
 	defer conn.Close()
 	buffer := make([]byte, lengthPrefixSize+maxChunkSize)
 	for {
--- a/internal/tcp/option.go
+++ b/internal/tcp/option.go
@@ -29,6 +29,28 @@
 	return optionErr
 }
 
+// ResetOnClose is a net.Dialer.Control function that makes each close of the connection a reset, also that by the end of
+// the process: what has not been delivered by then never is, so that nobody acts on a request that has been given up.
+func ResetOnClose(_, _ string, raw syscall.RawConn) error {
+	var optionErr error
+	err := raw.Control(func(fd uintptr) {
+		optionErr = syscall.SetsockoptLinger(int(fd), syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+	})
+	if err != nil {
+		return err
+	}
+	return optionErr
+}
+
+// ControlRequests is a net.Dialer.Control function for connections that carry requests: LimitUnacknowledged and
+// ResetOnClose.
+func ControlRequests(network, address string, raw syscall.RawConn) error {
+	if err := LimitUnacknowledged(network, address, raw); err != nil {
+		return err
+	}
+	return ResetOnClose(network, address, raw)
+}
+
 // Conn is a connection whose socket can be inspected.
 type Conn interface {
 	net.Conn
@@ -58,17 +80,50 @@
 	return err == nil && !isReadable
 }
 
-// Abort closes a connection with a reset, so that what was sent on it does not look complete.
+// IsReset reports whether the other side has reset the connection, also while input from before the reset is unread. It
+// reports a reset once, and the connection can't be used afterwards.
+func IsReset(conn net.Conn) bool {
+	socket, ok := innermost(conn).(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true
+	}
+	isReset := false
+	err = raw.Control(func(fd uintptr) {
+		pending, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
+		isReset = err == nil && pending != 0
+	})
+	return err != nil || isReset
+}
+
+// Abort closes a connection with a reset, so that what was sent on it does not look complete, and what has not been
+// delivered never is. It does not block.
 func Abort(conn net.Conn) {
+	socket := innermost(conn)
+	if lingerer, ok := socket.(interface{ SetLinger(seconds int) error }); ok {
+		_ = lingerer.SetLinger(0)
+	}
+	_ = socket.Close()
+}
+
+// Close closes a connection so that what was sent on it is still delivered, whatever was set when it was dialled.
+func Close(conn net.Conn) error {
+	if lingerer, ok := innermost(conn).(interface{ SetLinger(seconds int) error }); ok {
+		_ = lingerer.SetLinger(-1)
+	}
+	return conn.Close()
+}
+
+// innermost returns the connection below all wrappers.
+func innermost(conn net.Conn) net.Conn {
 	for {
 		wrapper, ok := conn.(interface{ NetConn() net.Conn })
 		if !ok {
-			break
+			return conn
 		}
 		conn = wrapper.NetConn()
 	}
-	if lingerer, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = lingerer.SetLinger(0)
-	}
-	_ = conn.Close()
 }
--- a/store/client.go
+++ b/store/client.go
@@ -6,12 +6,14 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
 	"time"
 
 	"bluebellhold/id"
+	"bluebellhold/internal/tcp"
 )
 
 // Defaults for the fields of a ClientConfig.
@@ -69,8 +71,10 @@
 // newHTTPClient returns a client that uses no proxy and follows no redirects, so that requests only go to the
 // configured address.
 func newHTTPClient() *http.Client {
+	dialer := net.Dialer{Control: tcp.ResetOnClose}
 	return &http.Client{
 		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
 			MaxIdleConns:        maxIdleConns,
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleConnTimeout,
--- a/tunnel.go
+++ b/tunnel.go
@@ -16,7 +16,7 @@
 const testTimeout = 600 * time.Millisecond
 
 func (i *Instance) dialUpstream(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: testTimeout, Control: tcp.LimitUnacknowledged}
+	dialer := net.Dialer{Timeout: testTimeout, Control: tcp.ControlRequests}
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
