Close connections that test an upstream regularly

Since connections for requests are dialled so that a plain close resets them, a test of an upstream's address ended with a reset, which upstreams may log as a fault. Nothing was sent on it, so it is closed regularly.

--- a/execute.go
+++ b/execute.go
@@ -8,6 +8,7 @@
 
 	"bluebellhold/id"
 	"bluebellhold/internal/steering"
+	"bluebellhold/internal/tcp"
 	"bluebellhold/note"
 	"bluebellhold/store"
 )
@@ -73,7 +74,7 @@
 	case steering.TestConnection:
 		conn, err := i.dialUpstream(ctx, e.Address)
 		if err == nil {
-			_ = conn.Close()
+			_ = tcp.Close(conn)
 		}
 		i.Post(steering.ConnectionTested{Upstream: e.Upstream, IsReached: err == nil})
 	case steering.DecodeEpoch:
