Use no idle connection after a call to the store failed

After a silent outage, each idle connection of the store's client (up to 16) cost a call of 2 s before a new one was opened, so the head row could stay unread for many seconds, and instances refused keyed requests as stale. A call that fails now closes the idle connections, as the client of the users' platform does.

The test fails before: "store: read failed: ... context deadline exceeded" for the second call after four connections fell silent.

--- a/store/client.go
+++ b/store/client.go
@@ -226,11 +226,14 @@
 	}
 	response, err := c.config.HTTPClient.Do(request)
 	if err != nil {
+		// Other connections may have fallen silent as well; the next call opens a new one.
+		c.config.HTTPClient.CloseIdleConnections()
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	responseBody, err := io.ReadAll(io.LimitReader(response.Body, int64(c.config.MaxBodySize)+1))
 	if err != nil {
+		c.config.HTTPClient.CloseIdleConnections()
 		return nil, err
 	}
 	if id.Bytes(len(responseBody)) > c.config.MaxBodySize {
