Give up a read of a whole table once the store is silent for a second

A page of a table may take 4 s to arrive, so a read of the operator's table that began just before the end of a silent outage was given up 4 s after it, when the operator's bounds hold again. The 4 s still bound the transfer, but a store that sends nothing for store.CallTimeout is given up; the constant stands beside ChangeFeed, since callers derive bounds from it.

--- a/store/feed.go
+++ b/store/feed.go
@@ -19,12 +19,17 @@
 	Version uint64
 }
 
+// CallTimeout is how long a ChangeFeed waits for the first bytes of an answer, in addition to the time for which the call waits
+// for a change, and then for further ones, before it gives the call up.
+const CallTimeout = time.Second
+
 // ChangeFeed reads tables and their changes, and writes rows with compare-and-set.
 //
 // Implementations are safe for concurrent use.
 type ChangeFeed interface {
 	// Changes returns the rows of a table that changed after afterVersion, and waits up to maxWait for the first
-	// change. It returns a HistoryTruncatedError if the store no longer holds all changes since that version.
+	// change. It returns a HistoryTruncatedError if the store no longer holds all changes since that version. A call that
+	// fails for lack of an answer makes the next one use a new connection.
 	Changes(ctx context.Context, table string, afterVersion uint64, maxWait time.Duration) (ChangeSet, error)
 	// Snapshot returns all rows of a table.
 	Snapshot(ctx context.Context, table string) (ChangeSet, error)
