Count only answers about a table as evidence of it, and bound reads that wait

A coordinator's read of the operator's rows that began just before the end waited 4.5 s for a change and 1 s more for the call, longer than the 4 s after which the bounds hold again. Meanwhile reads of the servers' table marked the operator's view as up to date, so members did not read either.

- A table is as recent as its own last answer (Mirror.ReadAt); relayedTable.confirm and followedTable.confirms are gone.
A heartbeat without a read no longer counts as one.
- A read of the operator's rows waits until the view is 2 s old: what is left of the 4 s after the timeout of the call, the pause and a new read.
After a failed call the next read does not wait at all.
- A member reads the rows itself once its coordinator has relayed no read of any table for 0.6 of the drain bound + 0.7 s, since a coordinator that no longer reaches the store has a read waiting as well.
Answers about other tables only count against the view.

--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bluebellhold/id"
+	"bluebellhold/internal/entry"
 	"bluebellhold/internal/wire"
 	"bluebellhold/store"
 )
@@ -74,3 +75,40 @@
 	}
 	return last.version, string(last.value), nil
 }
+
+// Transport is the transport of sessions.
+type Transport = transport
+
+// Offline is an instance without sockets, which follows the store.
+type Offline struct{ follower *follower }
+
+// NewOffline returns an instance without sockets.
+func NewOffline(c Config) Offline { return Offline{newFollower(newInstance(c))} }
+
+// Follow follows the store, with the given sessions with other instances, until ctx ends.
+func (o Offline) Follow(ctx context.Context, t Transport) {
+	f := o.follower
+	f.sessions.open(t)
+	f.followTables(ctx)
+	f.tick()
+	<-ctx.Done()
+	f.close()
+	f.goroutines.Wait()
+	f.requestLog.close()
+}
+
+// Deliver handles a message of another instance.
+func (o Offline) Deliver(from id.Instance, m *wire.Envelope) { o.follower.handleEnvelope(from, m) }
+
+// OpenSession handles that a session with another instance has opened.
+func (o Offline) OpenSession(with id.Instance) { o.follower.Post(entry.SessionOpened{Instance: with}) }
+
+// Version returns the version of the configuration that is in force.
+func (o Offline) Version() uint64 {
+	o.follower.mu.Lock()
+	defer o.follower.mu.Unlock()
+	return o.follower.state.Dump(time.Now()).Version
+}
+
+// Coordinator returns the instance's coordinator.
+func (o Offline) Coordinator() id.Instance { return o.follower.coordinator() }
--- a/internal/ingress/follower.go
+++ b/internal/ingress/follower.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// operatorMaxWait is how long a read of the operator's rows waits for a change. It bounds the delay of changes when
-	// a connection fails without being closed; the operator's bounds apply from 4 s after such a failure.
-	operatorMaxWait = 4500 * time.Millisecond
+	// maxRecoveryDelay is the time after an outage of the store from which on the operator's bounds hold again.
+	maxRecoveryDelay = 4 * time.Second
+	// rereadTime covers connecting to the store, a call, and the way of its result to the members.
+	rereadTime = 700 * time.Millisecond
 	// upstreamPollFraction is the time between two reads of the upstreams' rows, as a fraction of the time within which
 	// a draining upstream must be noticed. The rows change many times a second, so that reads that wait for a
 	// change would return immediately and never pause.
@@ -71,15 +72,22 @@
 }
 
 func (f *follower) start(ctx context.Context) {
+	f.followTables(ctx)
+	f.goroutines.Go(func() { f.openSessions(ctx) })
+	f.goroutines.Go(func() { f.keepDocuments(ctx) })
+}
+
+// followTables starts the goroutines that read and write the store for the reducer.
+func (f *follower) followTables(ctx context.Context) {
 	operator, upstreams := f.tables[f.config.Tables.Operator], f.tables[f.config.Tables.Upstreams]
 	f.follow(ctx, operator, followedTable{
 		read: f.readOperator, apply: f.applyOperatorChanges,
-		interval: func() time.Duration { return 0 }, maxWait: operatorMaxWait, maxAge: f.upstreamPollInterval() + relayMargin,
-		nextDue: f.operatorRows.nextEnd, handleDue: f.endDueEvacuations,
+		interval: func() time.Duration { return 0 }, maxAge: operatorReadInterval + relayMargin,
+		maxSilence: f.upstreamPollInterval() + relayMargin, nextDue: f.operatorRows.nextEnd, handleDue: f.endDueEvacuations,
 	})
 	f.follow(ctx, upstreams, followedTable{
 		read: f.readUpstreams, apply: f.applyUpstreamChanges,
-		interval: f.upstreamPollInterval, maxAge: f.upstreamPollInterval() + relayMargin, confirms: operator,
+		interval: f.upstreamPollInterval, maxAge: f.upstreamPollInterval() + relayMargin,
 		nextDue: f.upstreamRows.nextRemoval, handleDue: f.removeDueUpstreams,
 	})
 	f.follow(ctx, f.tables[f.config.Tables.Members], followedTable{
@@ -87,6 +95,4 @@
 		interval: f.heartbeatPause, maxAge: heartbeatInterval + relayMargin,
 	})
 	f.goroutines.Go(func() { f.coordinateGroup(ctx) })
-	f.goroutines.Go(func() { f.openSessions(ctx) })
-	f.goroutines.Go(func() { f.keepDocuments(ctx) })
 }
--- a/internal/ingress/instance.go
+++ b/internal/ingress/instance.go
@@ -71,6 +71,12 @@
 
 // New binds the instance's addresses and returns the instance; Run starts it.
 func New(c Config) (*Instance, error) {
+	i := newInstance(c)
+	return i, i.listen()
+}
+
+// newInstance returns an instance that listens on no address.
+func newInstance(c Config) *Instance {
 	if c.Registry == nil {
 		c.Registry = metrics.NewRegistry()
 	}
@@ -100,7 +106,7 @@
 		i.tables[name] = newRelayedTable(c.Feed, name)
 	}
 	i.timer = time.AfterFunc(time.Hour, i.tick)
-	return i, i.listen()
+	return i
 }
 
 // listen binds all addresses.
--- a/internal/ingress/operator.go
+++ b/internal/ingress/operator.go
@@ -52,19 +52,29 @@
 	return isRestored
 }
 
+// operatorReadInterval is the longest time between two answers about the operator's rows; changes are reported at once. A
+// read that waits on a connection that has fallen silent is given up store.CallTimeout later, and the rows are read again on
+// a new one and relayed, all within maxRecoveryDelay.
+const operatorReadInterval = maxRecoveryDelay - store.CallTimeout - retryDelay - rereadTime
+
+// operatorWait returns how long a read of the operator's rows waits for a change.
+func (f *follower) operatorWait() time.Duration {
+	if f.relaySource() != "" {
+		// The coordinator waits for changes.
+		return 0
+	}
+	until := f.tables[f.config.Tables.Operator].freshAt.Add(operatorReadInterval)
+	if end := f.operatorRows.nextEnd(); !end.IsZero() && end.Before(until) {
+		until = end
+	}
+	return max(time.Until(until), 0)
+}
+
 // readOperator waits for changes of the operator's rows and posts them as events.
 func (f *follower) readOperator(ctx context.Context) ([]store.Change, error) {
 	rows := f.tables[f.config.Tables.Operator].mirror
 	isFirst := len(rows.Rows()) == 0
-	wait := operatorMaxWait
-	if end := f.operatorRows.nextEnd(); !end.IsZero() {
-		wait = min(wait, max(time.Until(end), 0))
-	}
-	if f.relaySource() != "" {
-		// The coordinator waits for changes.
-		wait = 0
-	}
-	changes, err := rows.Refresh(ctx, wait)
+	changes, err := rows.Refresh(ctx, f.operatorWait())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -50,6 +50,8 @@
 	// readAt is when the last successful read started, and isLost is set after a failed one.
 	readAt time.Time
 	isLost bool
+	// relayedAt is as of when the coordinator's latest update is complete.
+	relayedAt time.Time
 	// followers holds the version that each follower has got.
 	followers map[id.Instance]uint64
 	// packed caches the compressed rows of updates up to version by the version that they follow.
@@ -114,16 +116,6 @@
 	return changes
 }
 
-// confirm records that the store answered a read of another table that started at readAt. A read of this table that
-// waits for a change then counts as up to date.
-func (t *relayedTable) confirm(readAt time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.isLost && readAt.After(t.readAt) {
-		t.readAt = readAt
-	}
-}
-
 // takeFollowers records that the table can't be read and returns its followers, which have to read it themselves.
 func (t *relayedTable) takeFollowers() []id.Instance {
 	names := t.followerNames()
@@ -330,6 +322,9 @@
 		return
 	}
 	t.refresh(u.freshAt)
+	t.mu.Lock()
+	t.relayedAt = latestOf(t.relayedAt, u.freshAt)
+	t.mu.Unlock()
 	t.recordRead(t.freshAt, apply(changes))
 	f.publish(t)
 }
--- a/internal/ingress/sessions.go
+++ b/internal/ingress/sessions.go
@@ -30,10 +30,18 @@
 // from the store; messages are lost until then.
 type sessions struct {
 	mu        sync.Mutex
-	transport *peer.Transport
+	transport transport
 	contacts  []store.Member
 }
 
+// transport keeps the sessions; a peer.Transport is one.
+type transport interface {
+	Send(to id.Instance, m *wire.Envelope)
+	SetPeers(contacts []store.Member)
+	OpenTunnel(ctx context.Context, via id.Instance, address string, target peer.TunnelTarget) (tcp.Conn, error)
+	Close()
+}
+
 // send sends a message unless there is no session with the instance. It never blocks.
 func (s *sessions) send(to id.Instance, m *wire.Envelope) {
 	s.mu.Lock()
@@ -69,7 +77,7 @@
 	})
 }
 
-func (s *sessions) open(t *peer.Transport) {
+func (s *sessions) open(t transport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.transport = t
--- a/internal/ingress/table.go
+++ b/internal/ingress/table.go
@@ -17,10 +17,9 @@
 	// is read.
 	interval func() time.Duration
 	maxAge   time.Duration
-	// maxWait is how long a read may wait for changes.
-	maxWait time.Duration
-	// confirms is a table whose reads wait for changes; a read of this table shows that the store would have answered.
-	confirms *relayedTable
+	// maxSilence is how long the coordinator may relay no read of any table before the store is read, if not zero. A read
+	// that waits for changes on a connection that has failed says nothing of it.
+	maxSilence time.Duration
 	// handleDue is called at the time that nextDue returns unless that is zero; nil means never.
 	nextDue   func() time.Time
 	handleDue func()
@@ -73,7 +72,29 @@
 	if f.relaySource() == "" || f.needsOwnReads(t) {
 		return pause
 	}
-	return max(pause, time.Until(t.freshAt.Add(p.maxAge)))
+	due := t.freshAt.Add(p.maxAge)
+	if p.maxSilence > 0 {
+		due = earliestOf(due, latestOf(s.startedAt, f.relayedAt()).Add(p.maxSilence))
+	}
+	return max(pause, time.Until(due))
+}
+
+// relayedAt returns when the coordinator has last read the store, as far as it has said.
+func (f *follower) relayedAt() time.Time {
+	var last time.Time
+	for _, t := range f.tables {
+		t.mu.Lock()
+		last = latestOf(last, t.relayedAt)
+		t.mu.Unlock()
+	}
+	return last
+}
+
+func latestOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // follow starts a goroutine that keeps a table up to date: it applies what the coordinator relays, reads the store when
@@ -107,7 +128,9 @@
 		time.Sleep(time.Until(s.startedAt.Add(minHeartbeatInterval)))
 		s.startedAt, s.notBefore = time.Time{}, time.Time{}
 	case <-timer.C:
-		f.readTable(ctx, t, p, s)
+		if f.pause(t, p, s) <= 0 {
+			f.readTable(ctx, t, p, s)
+		}
 	case <-ctx.Done():
 	}
 }
@@ -137,20 +160,11 @@
 		s.outageStart = time.Time{}
 	}
 	s.startedAt, s.notBefore = startedAt, time.Time{}
-	freshAt := startedAt
-	if p.maxWait > 0 && time.Since(startedAt) >= p.maxWait {
-		// The store had no change to report until then.
-		freshAt = startedAt.Add(p.maxWait)
-	}
-	t.refresh(freshAt)
-	t.recordRead(freshAt, relevant)
+	t.refresh(t.mirror.ReadAt())
+	t.recordRead(t.freshAt, relevant)
 	f.publish(t)
 	if f.relaySource() != "" {
 		f.requestRows(t)
 		s.notBefore = time.Now().Add(followerPause)
 	}
-	if p.confirms != nil {
-		p.confirms.confirm(startedAt)
-		f.publish(p.confirms)
-	}
 }
--- a/store/mirror.go
+++ b/store/mirror.go
@@ -14,6 +14,7 @@
 	rows     map[string]Change
 	version  uint64
 	isLoaded bool
+	readAt   time.Time
 }
 
 // NewMirror returns an empty Mirror; its first Refresh loads the table.
@@ -27,6 +28,7 @@
 	if !m.isLoaded {
 		return m.load(ctx)
 	}
+	startedAt := time.Now()
 	changes, err := m.feed.Changes(ctx, m.table, m.version, maxWait)
 	if errors.As(err, new(*HistoryTruncatedError)) {
 		return m.load(ctx)
@@ -34,12 +36,17 @@
 	if err != nil {
 		return nil, err
 	}
-	m.version = max(m.version, changes.Version)
+	m.version, m.readAt = max(m.version, changes.Version), startedAt
+	if len(changes.Rows) == 0 && time.Since(startedAt) >= maxWait {
+		// The store had no change to report until then.
+		m.readAt = startedAt.Add(maxWait)
+	}
 	return m.apply(changes.Rows), nil
 }
 
 // load reads the whole table. It rejects a snapshot that is older than the copy.
 func (m *Mirror) load(ctx context.Context) ([]Change, error) {
+	startedAt := time.Now()
 	snapshot, err := m.feed.Snapshot(ctx, m.table)
 	if err != nil {
 		return nil, err
@@ -57,7 +64,7 @@
 			changes = append(changes, Change{Name: name, Version: snapshot.Version, Deleted: true})
 		}
 	}
-	m.isLoaded, m.version = true, snapshot.Version
+	m.isLoaded, m.version, m.readAt = true, snapshot.Version, startedAt
 	return m.apply(changes), nil
 }
 
@@ -99,6 +106,9 @@
 // Version returns the version of the store that the copy is up to date with.
 func (m *Mirror) Version() uint64 { return m.version }
 
+// ReadAt returns the time as of which the last Refresh has made the copy complete.
+func (m *Mirror) ReadAt() time.Time { return m.readAt }
+
 // RowVersion returns the version of a row in the copy, or 0 if there is none.
 func (m *Mirror) RowVersion(name string) uint64 { return m.rows[name].Version }
 
