Count memory with fewer locks and allocations for small requests

The end of a reservation and the size of its response are recorded under one lock, a payload in one part needs no slice of its own, and the head of a digest none either.

--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -186,14 +186,19 @@
 	}
 }
 
+// maxDigestHead is the size of what precedes the body in a digest that needs no allocation.
+const maxDigestHead = 512
+
 // digest returns the digest of the method, target, key and body, which is the same for a caller's retry.
 func (x *exchange) digest() id.Digest {
 	h := sha256.New()
+	var head [maxDigestHead]byte
+	b := append(append(append(append(head[:0], x.r.Method...), '\n'), x.r.RequestURI...), '\n')
+	b = append(b, x.callerHeaders.KeyDigest[:]...)
 	// Writing to a hash never fails.
-	_, _ = io.WriteString(h, x.r.Method+"\n"+x.r.RequestURI+"\n")
-	_, _ = h.Write(x.callerHeaders.KeyDigest[:])
+	_, _ = h.Write(b)
 	_, _ = x.body.WriteTo(h)
-	return id.Digest(h.Sum(nil))
+	return id.Digest(h.Sum(b[:0]))
 }
 
 // executeEffect executes an effect and reports whether the exchange has ended.
--- a/internal/ingress/hold.go
+++ b/internal/ingress/hold.go
@@ -85,10 +85,11 @@
 	}
 	x.reserved = reserved
 	outcome := x.attempt(d)
+	response := id.Bytes(-1)
 	if answered, ok := outcome.(entry.Answered); ok {
-		x.memory.ObserveResponse(d.Diagnostics.Route, answered.Size)
+		response = answered.Size
 	}
-	x.memory.EndReservation(x.reserved)
+	x.memory.EndReservation(x.reserved, d.Diagnostics.Route, response)
 	x.reserved = 0
 	return outcome
 }
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -182,21 +182,18 @@
 	return size, ok
 }
 
-// EndReservation ends what is left of a reservation.
-func (m *Memory) EndReservation(size id.Bytes) {
+// EndReservation ends what is left of a reservation. The size of the route's response, unless it is negative, counts for later
+// reservations.
+func (m *Memory) EndReservation(size id.Bytes, route id.Route, response id.Bytes) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if response >= 0 {
+		m.ledger.observeResponse(route, response)
+	}
 	m.ledger.endReservation(size)
 	m.wake()
 }
 
-// ObserveResponse records the size of a route's response for later reservations.
-func (m *Memory) ObserveResponse(route id.Route, size id.Bytes) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.ledger.observeResponse(route, size)
-}
-
 // ReturnAt returns when a request of a size for which there was no memory should return. It counts on the rate at which
 // memory was released lately, and on the requests that were told to return before.
 func (m *Memory) ReturnAt(size id.Bytes) time.Time {
--- a/internal/memory/payload.go
+++ b/internal/memory/payload.go
@@ -14,8 +14,10 @@
 type Payload struct {
 	memory *Memory
 	parts  [][]byte
-	size   id.Bytes
-	held   id.Bytes
+	// first is the memory of parts for a small payload.
+	first [1][]byte
+	size  id.Bytes
+	held  id.Bytes
 }
 
 // ReadBody reads the body of a request to its end, after it has taken memory for it: for all of it if its length is known
@@ -40,6 +42,7 @@
 		return nil, &TooLargeError{Limit: limit}
 	}
 	p := &Payload{memory: m}
+	p.parts = p.first[:0]
 	if err := p.fill(r, length, limit, hold); err != nil {
 		p.Release()
 		return nil, err
@@ -135,7 +138,7 @@
 		return
 	}
 	p.memory.release(p.held, p.parts)
-	p.parts, p.size, p.held = nil, 0, 0
+	p.parts, p.first[0], p.size, p.held = nil, nil, 0, 0
 }
 
 // ShortError reports that there is no memory for a part of a body.
--- a/internal/memory/payload_test.go
+++ b/internal/memory/payload_test.go
@@ -132,7 +132,7 @@
 					if err == nil {
 						response.Release()
 					}
-					m.EndReservation(reservation)
+					m.EndReservation(reservation, "r", -1)
 				}
 				p.Release()
 				m.mu.Lock()
@@ -187,7 +187,7 @@
 	_, err := m.ReadResponse(context.Background(), bytes.NewReader(make([]byte, 17*PartSize)), -1, 0, &reservation)
 	var short *ShortError
 	require.ErrorAs(t, err, &short)
-	m.EndReservation(reservation)
+	m.EndReservation(reservation, "r", -1)
 	require.Zero(t, m.ledger.held)
 	require.Zero(t, m.ledger.reserved)
 }
