Let a stalled output be closed in tests

TestUpgrades/2102, 2104 and 2106 failed with "the output of instance-0 is not complete: use of closed file": the soak had stalled an output and then closed it, and the end of the process resumed it. TestStalledPipeCanBeClosed failed before with the same text.

--- a/internal/outputpipe/pipe_linux.go
+++ b/internal/outputpipe/pipe_linux.go
@@ -19,6 +19,7 @@
 
 	mu        sync.Mutex
 	isStalled bool
+	isClosed  bool
 	resumed   chan struct{}
 }
 
@@ -78,11 +79,19 @@
 	p.isStalled = false
 	close(p.resumed)
 	p.resumed = make(chan struct{})
+	if p.isClosed {
+		return nil
+	}
 	return p.reader.SetReadDeadline(time.Time{})
 }
 
 // CloseReader closes the end that is read, so that writes to the pipe fail.
-func (p *Pipe) CloseReader() error { return p.reader.Close() }
+func (p *Pipe) CloseReader() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isClosed = true
+	return p.reader.Close()
+}
 
 // Release closes this process's copy of the end that is written to, and waits until the process has ended and its output is
 // copied.
