Never drop bytes of a caller that have been read when a quiet connection is closed

A read that had returned bytes and had not yet recorded them found its connection closed, and the bytes were dropped; on a busy machine that takes as long as the reading goroutine waits for a processor.

The stop interrupts the waiting read with a deadline now. A read that gets no bytes closes the connection itself; one that got some goes on.

--- a/internal/drain/connections.go
+++ b/internal/drain/connections.go
@@ -2,9 +2,11 @@
 
 import (
 	"crypto/tls"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -78,9 +80,7 @@
 	defer c.mu.Unlock()
 	var left Counts
 	for conn := range c.open {
-		if conn.closeQuiet(&left) {
-			delete(c.open, conn)
-		}
+		conn.closeQuiet(&left)
 	}
 	return left
 }
@@ -107,6 +107,8 @@
 	isActive bool
 	// isReading is set while the server waits for bytes, and hasArrived once some have arrived since the last response.
 	isReading, hasArrived bool
+	// isInterrupted is set while closeQuiet has interrupted a read.
+	isInterrupted bool
 	// isClosed is set once the connection has been closed, and isLingering while it waits for its caller to close it.
 	isClosed, isLingering bool
 	connections           *Connections
@@ -123,26 +125,45 @@
 	return nil
 }
 
-// Read reads bytes of the caller. Bytes that it gets from a connection that has been closed as quiet are dropped: no
-// response to them could be sent.
+// Read reads bytes of the caller. A read that closeQuiet has interrupted closes the connection if nothing has arrived: no
+// byte that the caller has sent is read and then dropped.
 func (c *connection) Read(b []byte) (int, error) {
-	c.mu.Lock()
-	c.isReading = true
-	c.mu.Unlock()
-	n, err := c.Conn.Read(b)
+	for {
+		c.mu.Lock()
+		c.isReading = true
+		c.mu.Unlock()
+		n, err := c.Conn.Read(b)
+		if done := c.endRead(n, &err); done {
+			return n, err
+		}
+	}
+}
+
+// endRead records the end of a read, and reports whether it is to be returned.
+func (c *connection) endRead(n int, err *error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isReading = false
-	if c.isClosed || c.isLingering {
-		return 0, net.ErrClosed
-	}
-	if n > 0 && !c.hasArrived && !c.isActive {
-		if err := c.Conn.SetReadDeadline(time.Now().Add(c.headTimeout)); err != nil {
-			return n, err
+	isInterrupted := c.isInterrupted
+	c.isInterrupted = false
+	switch {
+	case c.isClosed || c.isLingering:
+		*err = net.ErrClosed
+	case n == 0 && isInterrupted && errors.Is(*err, os.ErrDeadlineExceeded):
+		if tcp.HasUnreadInput(c.Conn) {
+			*err = c.Conn.SetReadDeadline(time.Now().Add(c.headTimeout))
+			return *err != nil
+		}
+		c.isClosed = true
+		_ = c.Conn.Close()
+		*err = net.ErrClosed
+	case n > 0 && !c.isActive && (!c.hasArrived || isInterrupted):
+		c.hasArrived = true
+		if deadlineErr := c.Conn.SetReadDeadline(time.Now().Add(c.headTimeout)); deadlineErr != nil {
+			*err = deadlineErr
 		}
 	}
-	c.hasArrived = c.hasArrived || n > 0
-	return n, err
+	return true
 }
 
 // SetReadDeadline sets the deadline of reads, but does not remove the one for the next request and its head.
@@ -200,11 +221,10 @@
 	}
 }
 
-// closeQuiet closes the connection if nothing of a request has arrived, and counts it otherwise. It reports whether the
-// connection is closed.
+// closeQuiet counts the connection, and makes the read that waits close it if nothing of a request has arrived.
 //
 // The server must be waiting for bytes: it may hold some that it read together with the last request.
-func (c *connection) closeQuiet(left *Counts) bool {
+func (c *connection) closeQuiet(left *Counts) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -215,8 +235,12 @@
 	case !c.isReading:
 		left.Quiet++
 	default:
-		c.isClosed = true
-		_ = c.Conn.Close()
+		// The read that waits closes the connection, unless it has got bytes already.
+		left.Quiet++
+		c.isInterrupted = true
+		_ = c.Conn.SetReadDeadline(pastDeadline)
 	}
-	return c.isClosed
 }
+
+// pastDeadline makes reads fail at once.
+var pastDeadline = time.Unix(1, 0)
