Relay the changes of a read whose write has failed

What callers saw: members of a group could keep the former heartbeat of an instance for as long as it wrote no other, and name it in look-ups, or not name a new one.

Cause: a heartbeat writes and reads. If the write fails (a conflict, or no response) and the read succeeds, the changes are in the coordinator's copy, whose version they raise, but they were not logged for the members: the next update claimed to lead to the new version without them. A member that asked for rows before it had read the store itself never got them.

Change: changes are logged also when the read counts as failed. The operator's and the upstreams' rows are read without a write, so they were not affected.

TestRelayKeepsTheChangesOfAFailedRead failed without the change (one row instead of two) and passes.

--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -52,6 +52,13 @@
 	return err
 }
 
+// ReadAndFail reads the table and records the failure of a call that followed.
+func (r Relay) ReadAndFail() error {
+	changes, err := r.table.mirror.Refresh(context.Background(), 0)
+	r.table.takeFollowers(changes)
+	return err
+}
+
 // UpdatesFor returns the messages for a member that has got all changes up to the version after.
 func (r Relay) UpdatesFor(member id.Instance, after uint64) []*wire.RowsUpdate {
 	r.table.follow(member, after)
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -89,7 +89,13 @@
 		t.logStart = t.mirror.Version()
 		relevant = nil
 	}
-	t.version, t.readAt, t.isLost = t.mirror.Version(), readAt, false
+	t.readAt, t.isLost = readAt, false
+	t.logChanges(relevant)
+}
+
+// logChanges logs the relevant changes that lead to the version of the mirror. The caller holds mu.
+func (t *relayedTable) logChanges(relevant []store.Change) {
+	t.version = t.mirror.Version()
 	for _, change := range relevant {
 		t.log[change.Name] = change
 	}
@@ -116,12 +122,16 @@
 	return changes
 }
 
-// takeFollowers records that the table can't be read and returns its followers, which have to read it themselves.
-func (t *relayedTable) takeFollowers() []id.Instance {
+// takeFollowers records that the table can't be read and returns its followers, which have to read it themselves. A read
+// that has failed may have applied changes to the mirror before; relevant are those that matter to followers.
+func (t *relayedTable) takeFollowers(relevant []store.Change) []id.Instance {
 	names := t.followerNames()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.isLost = true
+	if t.version > 0 {
+		t.logChanges(relevant)
+	}
 	clear(t.followers)
 	return names
 }
@@ -217,8 +227,8 @@
 }
 
 // dismissFollowers makes the members read a table themselves while this instance can't read it.
-func (f *follower) dismissFollowers(t *relayedTable) {
-	for _, name := range t.takeFollowers() {
+func (f *follower) dismissFollowers(t *relayedTable, relevant []store.Change) {
+	for _, name := range t.takeFollowers(relevant) {
 		f.sessions.send(name, &wire.Envelope{Payload: &wire.Envelope_RowsUpdate{RowsUpdate: &wire.RowsUpdate{
 			Table: t.name, Reload: true,
 		}}})
--- a/internal/ingress/relay_test.go
+++ b/internal/ingress/relay_test.go
@@ -87,6 +87,22 @@
 	require.True(t, rows[1].GetDeleted())
 }
 
+// Guards against a change that never reaches the members, since the coordinator read it together with a write that failed: the
+// heartbeat of an instance that has left, or has a new address.
+func TestRelayKeepsTheChangesOfAFailedRead(t *testing.T) {
+	feed := &memoryFeed{}
+	feed.put("members", "osrednja-1", []byte("first"))
+	relay, err := ingress.NewRelay(feed, "members")
+	require.NoError(t, err)
+	after := feed.changesSince("members", 0).Version
+	feed.put("members", "osrednja-2", []byte("second"))
+	require.NoError(t, relay.ReadAndFail())
+	require.True(t, relay.UpdatesFor("member", after)[0].GetReload())
+	feed.put("members", "osrednja-3", []byte("third"))
+	require.NoError(t, relay.Read())
+	require.Len(t, relay.UpdatesFor("member", after)[0].GetRows(), 2)
+}
+
 // Guards against a member whose requests for rows make the coordinator keep a message for each version that it names.
 func TestRelayBoundsCachedMessages(t *testing.T) {
 	feed := &memoryFeed{}
--- a/internal/ingress/table.go
+++ b/internal/ingress/table.go
@@ -152,7 +152,7 @@
 			f.log.Warn("store: still lost", "part", t.name, "outage", startedAt.Sub(s.outageStart), "error", err)
 		}
 		s.startedAt, s.notBefore = time.Time{}, time.Now().Add(retryDelay)
-		f.dismissFollowers(t)
+		f.dismissFollowers(t, relevant)
 		return
 	}
 	if !s.outageStart.IsZero() {
