Relay documents of any size to the members

The operator's document grows by 1400 routes three times; after the third, all members log 'an update can't be decompressed ... too large' (274 times in 12 s), and then read the store themselves: machines with 200 Mbit/s within a second, those with 10 Mbit/s not at all ('context deadline exceeded' at each call, since the rows need more than a second).

Cause: sizes that were taken from the largest document seen so far. An update was refused above 1 MiB, a message of the sessions above 256 kB, a response of the store above 4 MiB; each is below what an operator may write.

Change: a large update is sent in parts of 64 kB, which share memory among the members and are a message of their own, so that members of earlier releases skip them and read the store as before. A member that can't decode an update reads the store at once instead of 2.7 s later. The cached updates are bounded by their bytes too.

Related: the last good document, which is kept in the store for new processes, had the limit of 1 MiB as well. TestLargeDocumentsUseSeveralRows expected an error for 1.5 MB, because of that limit; it now expects that such a document is kept and read, and errors above the parts and above 16 MiB.

TestLargeDocumentsReachTheMembers failed for 1.2, 3 and 6 MB before the change (the withdrawn key was in force for all of 13 s) and passes; TestLargeUpdatesAreSplit is new.

--- a/internal/ingress/compress.go
+++ b/internal/ingress/compress.go
@@ -8,8 +8,9 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// maxUnpackedBytes bounds a decompressed message: an update holds maxUpdateBytes of rows and one more row.
-const maxUnpackedBytes = 1 << 20
+// maxUnpackedBytes bounds a decompressed message: an update holds maxUpdateBytes of rows and one more row, and the operator's
+// document is a row of any size.
+const maxUnpackedBytes = 16 << 20
 
 // compressMessage returns the compressed encoding of a message.
 func compressMessage(m proto.Message) ([]byte, error) {
--- a/internal/ingress/document.go
+++ b/internal/ingress/document.go
@@ -28,7 +28,7 @@
 	// maxLastRowBytes bounds a row. A part of maxPartBytes fits into it in base64, with the other fields.
 	maxLastRowBytes = 64 << 10
 	maxPartBytes    = 47 << 10
-	// maxParts bounds the rows of one document: a decompressed one has at most maxUnpackedBytes.
+	// maxParts bounds the rows of one document, and with maxUnpackedBytes its size.
 	maxParts = 24
 	// minDocumentPause and maxDocumentPause bound the time between two looks at the kept document while the operator's is
 	// rejected. It doubles from one to the other, so that a document which replaces a kept one is noticed within seconds
--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -65,6 +65,17 @@
 	return r.table.updatesFor(member, time.Now(), 1)
 }
 
+// SplitUpdate is splitUpdate.
+var SplitUpdate = splitUpdate
+
+// PartialUpdate gives tests access to an update that arrives in parts.
+type PartialUpdate struct{ partial partialUpdate }
+
+// Add is partialUpdate.add.
+func (p *PartialUpdate) Add(from id.Instance, part *wire.RowsPart) (*wire.RowsUpdate, bool) {
+	return p.partial.add(from, part)
+}
+
 // Held returns the number of changes and of cached messages that the relay holds.
 func (r Relay) Held() (changes, messages int) { return len(r.table.log), len(r.table.packed) }
 
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -17,8 +17,9 @@
 const (
 	// maxLoggedChanges bounds the rows whose latest changes are kept for members which start to follow the table.
 	maxLoggedChanges = 4096
-	// maxPackedUpdates bounds the compressed updates that are cached: members that have kept up need one.
+	// maxPackedUpdates and maxPackedBytes bound the compressed updates that are cached: members that have kept up need one.
 	maxPackedUpdates = 64
+	maxPackedBytes   = 4 << 20
 	// maxUpdateBytes bounds the rows in one message, so that it does not delay others.
 	maxUpdateBytes = 96 << 10
 	// updateQueueLength is the number of updates that may wait while a table is read.
@@ -39,6 +40,8 @@
 	updates chan rowsUpdate
 	// changed wakes that goroutine after a change of the coordinator.
 	changed chan struct{}
+	// sending is held while the messages for one follower are sent, so that their order is that of the versions.
+	sending sync.Mutex
 	// freshAt is as of when the view is complete. Only that goroutine uses it.
 	freshAt time.Time
 
@@ -56,6 +59,8 @@
 	followers map[id.Instance]uint64
 	// packed caches the compressed rows of updates up to version by the version that they follow.
 	packed map[uint64][]byte
+	// partial is the update that arrives in parts.
+	partial partialUpdate
 }
 
 // rowsUpdate is a received RowsUpdate.
@@ -212,13 +217,22 @@
 			// The rows are sent as they are.
 			return
 		}
-		if len(t.packed) < maxPackedUpdates {
+		if t.hasRoomFor(packed) {
 			t.packed[u.GetAfter()] = packed
 		}
 	}
 	u.Rows, u.Packed = nil, packed
 }
 
+// hasRoomFor reports whether another compressed update may be cached. The caller holds mu.
+func (t *relayedTable) hasRoomFor(packed []byte) bool {
+	bytes := len(packed)
+	for _, other := range t.packed {
+		bytes += len(other)
+	}
+	return len(t.packed) < maxPackedUpdates && (len(t.packed) == 0 || bytes <= maxPackedBytes)
+}
+
 // publish sends what the followers have not got yet.
 func (f *follower) publish(t *relayedTable) {
 	for _, name := range t.followerNames() {
@@ -236,13 +250,17 @@
 }
 
 func (f *follower) sendUpdates(t *relayedTable, name id.Instance) {
+	t.sending.Lock()
+	defer t.sending.Unlock()
 	echo, ok := f.reportStamp(name)
 	if !ok {
 		t.unfollow(name)
 		return
 	}
 	for _, update := range t.updatesFor(name, time.Now(), echo) {
-		f.sessions.send(name, &wire.Envelope{Payload: &wire.Envelope_RowsUpdate{RowsUpdate: update}})
+		for _, message := range splitUpdate(update) {
+			f.sessions.send(name, message)
+		}
 	}
 }
 
@@ -283,8 +301,27 @@
 	}
 }
 
+// handleRowsPart collects the parts of an update and handles it once it is whole. A member that has lost some notices the gap
+// at the next update.
+func (f *follower) handleRowsPart(from id.Instance, part *wire.RowsPart) {
+	t := f.tables[part.GetTable()]
+	if t == nil || from != f.relaySource() {
+		return
+	}
+	t.mu.Lock()
+	update, ok := t.partial.add(from, part)
+	t.mu.Unlock()
+	if !ok {
+		f.log.Warn("relay: a part of an update is missing", "table", t.name, "from", from, "part", part.GetNumber())
+		return
+	}
+	if update != nil {
+		f.handleRowsUpdate(from, update)
+	}
+}
+
 // handleRowsUpdate passes an update to the goroutine that uses the table's mirror. An update that finds the queue full
-// is dropped; the gap is noticed at the next one.
+// is dropped; the gap is noticed at the next one. After one that can't be read, the member reads the store itself.
 func (f *follower) handleRowsUpdate(from id.Instance, u *wire.RowsUpdate) {
 	t := f.tables[u.GetTable()]
 	if t == nil || from != f.relaySource() {
@@ -298,7 +335,7 @@
 		var unpacked wire.RowsUpdate
 		if err := decompressMessage(u.GetPacked(), &unpacked); err != nil {
 			f.log.Warn("relay: an update can't be decompressed", "table", t.name, "from", from, "error", err)
-			return
+			update.isReload = true
 		}
 		rows = unpacked.GetRows()
 	}
--- a/internal/ingress/sessions.go
+++ b/internal/ingress/sessions.go
@@ -217,6 +217,8 @@
 		f.handleRowsRequest(from, payload.RowsRequest)
 	case *wire.Envelope_RowsUpdate:
 		f.handleRowsUpdate(from, payload.RowsUpdate)
+	case *wire.Envelope_RowsPart:
+		f.handleRowsPart(from, payload.RowsPart)
 	default:
 		if message := decodeMessage(m); message != nil {
 			f.Post(entry.MessageReceived{From: from, Message: message})
