Send on no late request in a stop that may run once and be cut off

What callers saw (a report of other operators): in a planned stop, requests that came late in the grace period were passed on and cut at its end, among them requests that may not be repeated.

Cause: a stop sent a request on if three times its estimated latency fitted into the time left. One whose upstream takes longer than that was broken off with 504 before its deadline, and its caller can't know whether it ran.

Change: the estimate decides only for requests that may be repeated. Others are sent on if their deadline lies before the end of the stop, and refused at once as not run otherwise, so that another instance runs them.

The tests of stops in entry and ingress pass.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -15,8 +15,8 @@
 	hasEnded bool
 }
 
-// stopLatencyFactor is how many times the estimated latency of a request must fit into what is left of a stop. An attempt
-// that the stop breaks off may have run, while a refusal costs its caller one more connection.
+// stopLatencyFactor is how many times the estimated latency of a request that may be repeated must fit into what is left of a
+// stop. An attempt that the stop breaks off may have run, while a refusal costs its caller one more connection.
 const stopLatencyFactor = 3
 
 // handleStopRequested starts a stop. A request that arrives from now on is sent on only if its response will be there in
@@ -42,12 +42,13 @@
 	s.sendReports()
 }
 
-// outlivesStop reports whether the response to a request may come too late for a stop, if it is sent to an upstream now.
+// outlivesStop reports whether the response to a request may come too late for a stop, if it is sent to an upstream now. The
+// estimate decides only for a request that its caller may repeat.
 func (s *State) outlivesStop(r *request, latency time.Duration) bool {
 	if s.stopping.answerBy.IsZero() || !r.deadline.After(s.stopping.answerBy) {
 		return false
 	}
-	return s.now.Add(stopLatencyFactor * latency).After(s.stopping.answerBy)
+	return !r.route.Idempotent || s.now.Add(stopLatencyFactor*latency).After(s.stopping.answerBy)
 }
 
 // refuseForStop refuses a request that this instance has no time for; another one may serve it at once.
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -93,6 +93,61 @@
 	}
 }
 
+// Guards against requests that may not be repeated and are cut off at the end of a stop, since their upstream takes far longer
+// than usual: they came late in the grace period and were sent on.
+func TestStopCutsOffNoLateRequestThatMayRunOnce(t *testing.T) {
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		h := newHarness(t)
+		for range 50 {
+			h.completeAttempt(h.requireDispatch("/draw/1"))
+			h.now = h.now.Add(100 * time.Millisecond)
+		}
+		last := h.requireDispatch("/draw/1")
+		wholeTime := last.UpstreamDeadline.Sub(h.now)
+		h.completeAttempt(last)
+		stop := h.requestStop()
+		inFlight := make(map[id.Request]entry.Dispatch)
+		arrivedAt := make(map[id.Request]time.Time)
+		sent, refused := 0, 0
+		handle := func(effects []entry.Effect) {
+			for _, e := range effects {
+				switch e := e.(type) {
+				case entry.Dispatch:
+					sent++
+					inFlight[e.Request] = e
+					require.False(t, e.UpstreamDeadline.Before(arrivedAt[e.Request].Add(wholeTime)),
+						"seed %d: sent with less than the time that the upstream may take, %v before the end", seed, stop.EndAt.Sub(h.now))
+				case entry.Refuse:
+					refused++
+				case entry.EndAttempt:
+					require.Fail(t, "a request was cut off", "seed %d", seed)
+				}
+			}
+		}
+		for h.now.Before(stop.EndAt.Add(100 * time.Millisecond)) {
+			h.now = h.now.Add(time.Duration(1+random.IntN(100)) * time.Millisecond)
+			// The upstreams leave one request of five without a response.
+			for r, d := range inFlight {
+				switch {
+				case r%5 > 0:
+					delete(inFlight, r)
+					handle(h.reduce(entry.AttemptEnded{Request: r, Outcome: entry.Answered{Status: 200, Elapsed: 30 * time.Millisecond}}))
+				case !h.now.Before(d.Deadline):
+					delete(inFlight, r)
+					handle(h.reduce(entry.AttemptEnded{Request: r, Outcome: entry.TimedOut{Elapsed: routeTimeout}}))
+				}
+			}
+			arrivedAt[h.lastRequest+1] = h.now
+			_, effects := h.sendRequest("/draw/1")
+			handle(effects)
+			handle(h.reduce(entry.Tick{}))
+		}
+		require.Positive(t, sent)
+		require.Positive(t, refused)
+	}
+}
+
 // Guards against a stop that closes the connection of a request which is still in flight, instead of saying that its outcome
 // is unknown.
 func TestRequestsInFlightAtTheEndOfAStopAreAnswered(t *testing.T) {
