Look routes up by their prefixes

With the 4200 routes that the users' largest document has, a request was compared with the prefixes of all routes of its host, twice: 13.4 us a look-up, which is 0.17 ms on a machine with 0.16 of a core.

Every prefix of the users ends with a slash, so a map of prefixes needs one step for each slash of the path: 0.095 us. Routes whose prefix ends otherwise are compared one by one as before. Of routes with the same host and prefix, the first one counts; before, the sort decided.

--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -138,29 +138,56 @@
 	return id.Tokens((s.ColdRate*b.ColdFactor + b.ColdSlack) * boundFraction)
 }
 
-// routeTable maps a host to its routes, the longest prefix first.
-type routeTable map[string][]*Route
+// routeTable maps a host to its routes.
+type routeTable map[string]*hostRoutes
+
+// hostRoutes are the routes of a host. A look-up takes a step for each slash of the path, whatever the number of routes.
+type hostRoutes struct {
+	byPrefix map[string]*Route
+	// unclosed are the routes whose prefixes do not end with a slash, the longest first.
+	unclosed []*Route
+}
 
 func newRouteTable(routes []Route) routeTable {
 	table := make(routeTable)
 	for i := range routes {
 		r := &routes[i]
-		table[r.Host] = append(table[r.Host], r)
+		host := table[r.Host]
+		if host == nil {
+			host = &hostRoutes{byPrefix: make(map[string]*Route)}
+			table[r.Host] = host
+		}
+		if !strings.HasSuffix(r.Prefix, "/") {
+			host.unclosed = append(host.unclosed, r)
+		} else if host.byPrefix[r.Prefix] == nil {
+			host.byPrefix[r.Prefix] = r
+		}
 	}
-	for _, routes := range table {
-		slices.SortFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	for _, host := range table {
+		slices.SortStableFunc(host.unclosed, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	return table
 }
 
 // match returns the host's route with the longest prefix that matches the path, or nil.
 func (t routeTable) match(host, path string) *Route {
-	for _, r := range t[host] {
+	routes := t[host]
+	if routes == nil {
+		return nil
+	}
+	var longest *Route
+	for end := strings.LastIndexByte(path, '/'); end >= 0 && longest == nil; end = strings.LastIndexByte(path[:end], '/') {
+		longest = routes.byPrefix[path[:end+1]]
+	}
+	for _, r := range routes.unclosed {
+		if longest != nil && len(r.Prefix) < len(longest.Prefix) {
+			break
+		}
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
 	}
-	return nil
+	return longest
 }
 
 func priorityOf(o Organisation, r *Route) admission.Priority {
