Read objects of the store for as long as they arrive

Now the timeout bounds the time without a byte in either direction, and eight times as much the whole call. A small call ends as before: its response is one part.

TestSlowObjectIsRead failed before ('context deadline exceeded') and passes; TestObjectThatFallsSilentIsGivenUp is new.

--- a/store/client.go
+++ b/store/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"bluebellhold/id"
+	"bluebellhold/internal/silence"
 	"bluebellhold/internal/tcp"
 )
 
@@ -23,7 +24,9 @@
 	DefaultTimeout              = 2 * time.Second
 	DefaultMaxBodySize id.Bytes = 16 << 20
 	maxIdleConns                = 16
-	idleConnTimeout             = 90 * time.Second
+	// transferFactor is how many times the timeout the transfer of a large object may take: 16 MiB at 10 Mbit/s.
+	transferFactor  = 8
+	idleConnTimeout = 90 * time.Second
 )
 
 // InstanceHeader is the HTTP header that identifies the instance that calls the platform.
@@ -31,8 +34,8 @@
 
 // ClientConfig configures a Client.
 //
-// Address is the base URL of the platform; without a scheme it defaults to HTTP. Timeout bounds each call in addition
-// to the context's deadline. MaxBodySize bounds the body of a response.
+// Address is the base URL of the platform; without a scheme it defaults to HTTP. Timeout bounds the time without progress in
+// each call, in addition to the context's deadline; a call takes transferFactor times as long at most. MaxBodySize bounds the body of a response.
 type ClientConfig struct {
 	Address     string
 	Instance    id.Instance
@@ -230,12 +233,19 @@
 // do sends one request and returns the body of a 200 response. It reads the body completely, because the connection is
 // only reused then.
 func (c *Client) do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, transferFactor*c.config.Timeout)
 	defer cancel()
+	ctx, watch := silence.New(ctx, silence.Config{First: c.config.Timeout, Between: c.config.Timeout})
+	defer watch.Stop()
 	request, err := http.NewRequestWithContext(ctx, method, c.config.Address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
+	if len(body) > 0 {
+		// net/http calls GetBody to repeat a request that has found its idle connection closed.
+		request.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(watch.Reader(bytes.NewReader(body))), nil }
+		request.Body, _ = request.GetBody()
+	}
 	if c.config.Instance != "" {
 		request.Header.Set(InstanceHeader, string(c.config.Instance))
 	}
@@ -246,7 +256,7 @@
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	responseBody, err := io.ReadAll(io.LimitReader(response.Body, int64(c.config.MaxBodySize)+1))
+	responseBody, err := io.ReadAll(io.LimitReader(watch.Reader(response.Body), int64(c.config.MaxBodySize)+1))
 	if err != nil {
 		c.config.HTTPClient.CloseIdleConnections()
 		return nil, err
--- a/store/silent_test.go
+++ b/store/silent_test.go
@@ -16,6 +16,39 @@
 	"bluebellhold/store"
 )
 
+// Guards against an object that is never read over a slow link: the read was given up though the store kept sending.
+func TestSlowObjectIsRead(t *testing.T) {
+	const timeout, parts = 200 * time.Millisecond, 10
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for range parts {
+			_, _ = io.WriteString(w, "part")
+			w.(http.Flusher).Flush()
+			time.Sleep(2 * timeout / parts)
+		}
+	}))
+	t.Cleanup(server.Close)
+	client := store.NewClient(store.ClientConfig{Address: server.URL, Timeout: timeout})
+	object, err := client.Get(context.Background(), "epoch-7")
+	require.NoError(t, err)
+	require.Len(t, object, parts*len("part"))
+}
+
+// Guards against a call that waits for ever on a store that falls silent after the first bytes of its response.
+func TestObjectThatFallsSilentIsGivenUp(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "part")
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(server.Close)
+	client := store.NewClient(store.ClientConfig{Address: server.URL, Timeout: 100 * time.Millisecond})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := client.Get(ctx, "epoch-7")
+	require.Error(t, err)
+	require.NoError(t, ctx.Err(), "not given up for its silence")
+}
+
 // connectionKey is the key of a connection's number in the context of its requests.
 type connectionKey struct{}
 
