Treat the upstreams of a data centre as cold when its evacuation ends

Cause: the end of an evacuation is read at once, and that an upstream is cold since then only with its next row, up to 0.6 of the drain bound later (2.4 s there). In between all instances took the upstreams of the data centre for warm and idle, and sent them everything.

Change: readmitted upstreams count as cold until changes of their rows must have been noticed (the drain bound). The cold rate is shared by the instances already. If they are warm, that costs little: the rate is above what these upstreams serve at a time, and they come back without load.

TestReadmittedUpstreamsCountAsCold failed before (700 requests in a second of 16) and passes.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -75,7 +75,7 @@
 	}
 	svc.chooser.SetFeatures(s.Features())
 	svc.queue.SetFair(s.Features().Order)
-	svc.chooser.SetEvacuated(s.evacuated)
+	svc.chooser.SetEvacuated(s.evacuated, s.now)
 	svc.divideLimits(s, s.configuration.Services[name])
 	svc.chooser.SetPeers(s.now, s.config.Instance, s.servingPeers())
 	return svc
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -309,7 +309,7 @@
 		s.evacuated[d] = true
 	}
 	for _, svc := range s.services {
-		svc.chooser.SetEvacuated(s.evacuated)
+		svc.chooser.SetEvacuated(s.evacuated, s.now.Add(s.config.Bounds.MaxDrainDelay))
 	}
 	s.dispatchAllQueued()
 }
--- a/placement/chooser.go
+++ b/placement/chooser.go
@@ -133,8 +133,15 @@
 	c.features = set
 }
 
-// SetEvacuated excludes the upstreams of the given data centres from new requests and readmits all others.
-func (c *Chooser) SetEvacuated(dataCentres map[id.DataCentre]bool) {
+// SetEvacuated excludes the upstreams of the given data centres from new requests and readmits all others. Those that it
+// readmits count as cold until coldUntil: they may have restarted meanwhile, and their rows say so later than the operator
+// readmits them.
+func (c *Chooser) SetEvacuated(dataCentres map[id.DataCentre]bool, coldUntil time.Time) {
+	for _, u := range c.ordered {
+		if c.evacuated[u.DataCentre] && !dataCentres[u.DataCentre] {
+			u.readmittedColdUntil = coldUntil
+		}
+	}
 	c.evacuated = dataCentres
 	c.resetRankings()
 	c.resetFarHomes()
@@ -363,9 +370,9 @@
 }
 
 // isCold reports whether the cold rate applies: the upstream was listed as cold, or a connection to it failed recently
-// and it may have restarted.
+// and it may have restarted, or the operator has just readmitted it.
 func (u *upstream) isCold(now time.Time) bool {
-	return now.Before(u.ColdUntil) || now.Before(u.assumedColdUntil)
+	return now.Before(u.ColdUntil) || now.Before(u.assumedColdUntil) || now.Before(u.readmittedColdUntil)
 }
 
 // stats returns the measurements of the request's route.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -75,7 +75,7 @@
 func TestChooseRespectsConstraints(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := newChooser("osrednja", newUpstreams(3, "osrednja", "koper", "stajerska"))
-		c.SetEvacuated(map[id.DataCentre]bool{"koper-a": true})
+		c.SetEvacuated(map[id.DataCentre]bool{"koper-a": true}, start)
 		req := newRequest(fmt.Sprint(rapid.IntRange(0, 500).Draw(t, "object")))
 		req.Regions = []id.Region{"koper", "stajerska"}
 		req.Exclude = []id.Upstream{"stajerska-0"}
@@ -116,6 +116,45 @@
 	require.GreaterOrEqual(t, sent, coldRate/2)
 }
 
+// Guards against a crowd of requests to the upstreams of a data centre whose evacuation ends: they may be cold since, and their rows
+// say so only after the operator has readmitted them. On kpalc-harvest-grown one of them got 18 to 22 requests in a second.
+func TestReadmittedUpstreamsCountAsCold(t *testing.T) {
+	const instances, coldRate = 7, 16
+	var members []id.Instance
+	for i := range instances {
+		members = append(members, id.Instance(fmt.Sprint("instance-", i)))
+	}
+	list := newUpstreams(1, "osrednja")
+	sent, sentLater := 0, 0
+	for _, self := range members {
+		c := placement.New(placement.Config{Region: "osrednja", DataCentre: "osrednja-a"})
+		c.SetUpstreams(start, list)
+		c.SetColdRate(start, self, members, coldRate)
+		send := func(now time.Time, count *int) {
+			req := newRequest("")
+			if choice, ok := c.Choose(now, req); ok {
+				choice = c.RecordStart(now, choice, req)
+				c.RecordOutcome(now, choice, req, placement.Answered{Elapsed: time.Millisecond})
+				*count++
+			}
+		}
+		c.SetEvacuated(map[id.DataCentre]bool{list[0].DataCentre: true}, start)
+		sentBefore := sent
+		send(start, &sent)
+		require.Equal(t, sentBefore, sent, "evacuated")
+		c.SetEvacuated(nil, start.Add(2*time.Second))
+		for i := range 100 {
+			send(start.Add(time.Duration(i)*9*time.Millisecond), &sent)
+		}
+		for i := range 100 {
+			send(start.Add(2*time.Second+time.Duration(i)*9*time.Millisecond), &sentLater)
+		}
+	}
+	require.LessOrEqual(t, sent, coldRate)
+	require.GreaterOrEqual(t, sent, coldRate/2)
+	require.Greater(t, sentLater, instances*coldRate)
+}
+
 // Guards against requests to an unreachable upstream during its backoff, and against never probing it again.
 func TestUnreachableUpstreamIsProbedAfterBackoff(t *testing.T) {
 	c := newChooser("osrednja", newUpstreams(2, "osrednja"))
--- a/placement/subset_test.go
+++ b/placement/subset_test.go
@@ -257,7 +257,7 @@
 	c.SetUpstreams(now, list)
 	choose(now, 1)
 	require.Len(t, c.FarUpstreams(), 20)
-	c.SetEvacuated(map[id.DataCentre]bool{"koper-a": true, "koper-b": true})
+	c.SetEvacuated(map[id.DataCentre]bool{"koper-a": true, "koper-b": true}, start)
 	for object := range 100 {
 		choose(now, object)
 	}
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -59,6 +59,8 @@
 	holdsColdShare bool
 	// assumedColdUntil is when an upstream that could not be reached no longer counts as cold.
 	assumedColdUntil time.Time
+	// readmittedColdUntil is when an upstream whose data centre was evacuated no longer counts as cold, unless its row says so.
+	readmittedColdUntil time.Time
 	// limit is the limit that the upstream named; nil if there has been none.
 	limit *rateLimit
 	// rest is the rest that the upstream asked for; nil if it has answered since.
