End a stall of a test's pipe that crosses its release

TestSilentStore/100 and TestUpgrades/100 were marked as failed for it, beside other failures.

Cause: Stall used the descriptor without a lock, and filled the pipe until it was full, which it never is once it is read again. Now the descriptor is taken under the lock, a stall after the release says that the pipe is closed, and the filling ends when the pipe is resumed.

--- a/internal/outputpipe/pipe_linux.go
+++ b/internal/outputpipe/pipe_linux.go
@@ -20,7 +20,9 @@
 	mu        sync.Mutex
 	isStalled bool
 	isClosed  bool
-	resumed   chan struct{}
+	// isReleased is set once the writer has been closed.
+	isReleased bool
+	resumed    chan struct{}
 }
 
 // New returns a pipe that is copied to target.
@@ -41,18 +43,10 @@
 // Writer returns the end for the standard output and standard error of the process.
 func (p *Pipe) Writer() *os.File { return p.writer }
 
-// Stall stops reading and fills the pipe with empty lines, so that the next write to it blocks. It must come before Release.
+// Stall stops reading and fills the pipe with empty lines, so that the next write to it blocks. After Release it returns
+// os.ErrClosed.
 func (p *Pipe) Stall() error {
-	p.mu.Lock()
-	p.isStalled = true
-	p.mu.Unlock()
-	// Ends a read in progress.
-	if err := p.reader.SetReadDeadline(time.Now()); err != nil {
-		return err
-	}
-	// An open file description of its own, since the process inherits the flags of the other one.
-	name := fmt.Sprintf("/proc/self/fd/%d", p.writer.Fd())
-	filler, err := syscall.Open(name, syscall.O_WRONLY|syscall.O_NONBLOCK|syscall.O_CLOEXEC, 0)
+	filler, err := p.startStall()
 	if err != nil {
 		return err
 	}
@@ -60,6 +54,9 @@
 	// A write that is at most as long as what is free never blocks; short ones fill the last bytes.
 	for _, size := range []int{4096, 1} {
 		for err = nil; err == nil; {
+			if !p.stillStalled() {
+				return nil
+			}
 			_, err = syscall.Write(filler, bytes.Repeat([]byte{'\n'}, size))
 		}
 		if !errors.Is(err, syscall.EAGAIN) {
@@ -69,10 +66,39 @@
 	return nil
 }
 
+// stillStalled reports whether the pipe has not been resumed.
+func (p *Pipe) stillStalled() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isStalled
+}
+
+// startStall stops reading and returns a descriptor of the end that is written to.
+func (p *Pipe) startStall() (filler int, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isReleased {
+		return 0, os.ErrClosed
+	}
+	p.isStalled = true
+	// Ends a read in progress.
+	if err := p.reader.SetReadDeadline(time.Now()); err != nil {
+		return 0, err
+	}
+	// An open file description of its own, since the process inherits the flags of the other one.
+	name := fmt.Sprintf("/proc/self/fd/%d", p.writer.Fd())
+	return syscall.Open(name, syscall.O_WRONLY|syscall.O_NONBLOCK|syscall.O_CLOEXEC, 0)
+}
+
 // Resume reads again.
 func (p *Pipe) Resume() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.resume()
+}
+
+// resume is Resume for callers that hold mu.
+func (p *Pipe) resume() error {
 	if !p.isStalled {
 		return nil
 	}
@@ -96,7 +122,10 @@
 // Release closes this process's copy of the end that is written to, and waits until the process has ended and its output is
 // copied.
 func (p *Pipe) Release() error {
-	err := errors.Join(p.Resume(), p.writer.Close())
+	p.mu.Lock()
+	p.isReleased = true
+	err := errors.Join(p.resume(), p.writer.Close())
+	p.mu.Unlock()
 	<-p.copied
 	return err
 }
--- a/internal/outputpipe/pipe_linux_test.go
+++ b/internal/outputpipe/pipe_linux_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"io"
+	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -18,3 +20,17 @@
 	require.NoError(t, p.CloseReader())
 	require.NoError(t, p.Release())
 }
+
+// Guards against a stall while the process ends: it raced with the close of the pipe, or held up its output for ever.
+func TestStallDuringTheReleaseEnds(t *testing.T) {
+	for range 200 {
+		p, err := outputpipe.New(io.Discard)
+		require.NoError(t, err)
+		released := make(chan error, 1)
+		go func() { released <- p.Release() }()
+		if err := p.Stall(); err != nil {
+			require.ErrorIs(t, err, os.ErrClosed)
+		}
+		require.NoError(t, <-released)
+	}
+}
