--- a/review/field/main.go
+++ b/review/field/main.go
@@ -18,7 +18,8 @@
 
 // cases are the cases by name; each returns whether the rule held.
 var cases = map[string]func(*field) (bool, error){
-	"cut": runCut,
+	"cut":   runCut,
+	"leave": runLeave,
 }
 
 func main() {
