Count the connections of clients, and close the least useful one for the next

Callers of an instance that follows a store saw no answer while 700 clients held connections, silent or slow: they took all 512 descriptors, so that neither callers nor the store, other instances and upstreams got one.

Cause: nothing bounded the connections that a process accepts, and each kept its descriptor for 10 s (a part of a head) to 75 s (none). Ruled out: shorter timeouts, which ordinary slow callers meet, and a refusal of new connections, which keeps everyone else out as long as the crowd stays.

Change: internal/occupancy counts the connections of the callers' address against the descriptors of the process (setting `descriptors`, from the template; else the process's own limit), of which clients may use a half. Each connection has a phase and the time since it has made progress; a new one closes the one that is latest by what its phase allows. One whose request runs is never closed. internal/memory counts the memory of connections and requests beside that of bodies and responses.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -33,6 +33,8 @@
 	// lastLinesPercent is the share of the grace period that the end of a stop waits for the output to take the last lines.
 	// The requests in flight have most of the period.
 	lastLinesPercent = 2
+	// maxDescriptors is used in place of a larger limit or of none.
+	maxDescriptors = 1 << 20
 	// gcPercent is the heap growth in percent that starts a garbage collection.
 	gcPercent = 200
 )
@@ -101,7 +103,8 @@
 		LookupAddress: s.LookupAddress, MetricsAddress: s.MetricsAddress,
 		PeerAddress: s.PeerAddress, LinkCapacity: int(s.LinkMbps),
 		Bounds: entryBounds(s.Bounds), MemoryLimit: id.Bytes(s.MemoryMiB) << 20,
-		Feed: platform.NewStoreClient(s.StoreAddress),
+		Descriptors: descriptorLimit(s.Descriptors),
+		Feed:        platform.NewStoreClient(s.StoreAddress),
 		Tables: ingress.Tables{
 			Operator: platform.OperatorTable, Upstreams: platform.ServersTable, Members: membersTable,
 			Groups: groupsTable, Secrets: secretsTable, Documents: documentsTable,
@@ -113,6 +116,19 @@
 	}
 }
 
+// descriptorLimit returns the number of descriptors that the process may open: what the settings say, if anything, but at most
+// the limit of the process.
+func descriptorLimit(setting int64) int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > maxDescriptors {
+		limit.Cur = maxDescriptors
+	}
+	if setting > 0 {
+		return int(min(uint64(setting), limit.Cur))
+	}
+	return int(limit.Cur)
+}
+
 func entryBounds(b settings.Bounds) entry.Bounds {
 	return entry.Bounds{
 		RetryRatio: b.RetryBudget.Ratio, RetryExtra: b.RetryBudget.Extra, RetryWindow: time.Duration(b.RetryBudget.Window),
--- a/internal/drain/connections.go
+++ b/internal/drain/connections.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"bluebellhold/internal/occupancy"
 	"bluebellhold/internal/tcp"
 )
 
@@ -22,6 +23,12 @@
 	IdleTimeout time.Duration
 	// TLS wraps the connections in TLS unless it is nil.
 	TLS *tls.Config
+	// Clients counts the connections; nil counts nothing.
+	Clients *occupancy.Clients
+	// Door is the kind of the address.
+	Door occupancy.Door
+	// Refusal is the body with which a request is refused for which there is no room.
+	Refusal string
 }
 
 // lingerTimeout is how long a connection that is closed after a response waits for its caller to close it too. The kernel
@@ -51,7 +58,12 @@
 // Total returns the number of connections.
 func (c Counts) Total() int { return c.Quiet + c.Partial + c.Active }
 
-// Listen returns a listener that accepts the connections of l. The server must serve it and use Track as its ConnState.
+// Attach makes a server use the connections: its ConnState, its ConnContext and its handler.
+func (c *Connections) Attach(server *http.Server) {
+	server.ConnState, server.ConnContext, server.Handler = c.Track, withConnection, c.handler(server.Handler)
+}
+
+// Listen returns a listener that accepts the connections of l. The server must serve it, and Attach must have been called.
 //
 // When it is closed, the connections that the kernel has accepted are still returned by Accept: their callers may have sent
 // requests.
@@ -70,7 +82,7 @@
 		return
 	}
 	if !tracked.isClosing() {
-		c.remove(tracked)
+		c.end(tracked)
 	}
 }
 
@@ -91,10 +103,12 @@
 	c.open[conn] = struct{}{}
 }
 
-func (c *Connections) remove(conn *connection) {
+// end forgets a connection that has been closed.
+func (c *Connections) end(conn *connection) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	delete(c.open, conn)
+	c.mu.Unlock()
+	conn.client.End()
 }
 
 // connection is a caller's connection.
@@ -107,11 +121,18 @@
 	isActive bool
 	// isReading is set while the server waits for bytes, and hasArrived once some have arrived since the last response.
 	isReading, hasArrived bool
+	// isReadingBody is set while the server waits for bytes of a request's body.
+	isReadingBody bool
+	// isWriting is set while the client does not take what is written.
+	isWriting bool
 	// isInterrupted is set while closeQuiet has interrupted a read.
 	isInterrupted bool
 	// isClosed is set once the connection has been closed, and isLingering while it waits for its caller to close it.
 	isClosed, isLingering bool
-	connections           *Connections
+	// isEvicted is set once the connection has been chosen to make room for another one.
+	isEvicted   bool
+	connections *Connections
+	client      *occupancy.Client
 }
 
 // NetConn returns the connection below.
@@ -149,6 +170,8 @@
 	switch {
 	case c.isClosed || c.isLingering:
 		*err = net.ErrClosed
+	case c.isEvicted && errors.Is(*err, os.ErrDeadlineExceeded):
+		*err = &EvictedError{}
 	case n == 0 && isInterrupted && errors.Is(*err, os.ErrDeadlineExceeded):
 		if tcp.HasUnreadInput(c.Conn) {
 			*err = c.Conn.SetReadDeadline(time.Now().Add(c.headTimeout))
@@ -158,6 +181,9 @@
 		_ = c.Conn.Close()
 		*err = net.ErrClosed
 	case n > 0 && !c.isActive && (!c.hasArrived || isInterrupted):
+		if !c.hasArrived {
+			c.client.Enter(occupancy.Head)
+		}
 		c.hasArrived = true
 		if deadlineErr := c.Conn.SetReadDeadline(time.Now().Add(c.headTimeout)); deadlineErr != nil {
 			*err = deadlineErr
@@ -166,11 +192,12 @@
 	return true
 }
 
-// SetReadDeadline sets the deadline of reads, but does not remove the one for the next request and its head.
+// SetReadDeadline sets the deadline of reads, but does not remove the one for the next request and its head, nor that of an
+// evicted connection.
 func (c *connection) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if t.IsZero() && !c.isActive {
+	if t.IsZero() && !c.isActive || c.isEvicted {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -193,12 +220,14 @@
 
 // linger sends the end of the response, and closes the connection when the caller does or lingerTimeout has passed.
 func (c *connection) linger() {
+	c.client.Release()
+	c.client.Enter(occupancy.Closing)
 	// Errors mean that the connection has ended.
 	if c.CloseWrite() == nil && c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
 		_, _ = io.Copy(io.Discard, c.Conn)
 	}
 	_ = c.Conn.Close()
-	c.connections.remove(c)
+	c.connections.end(c)
 }
 
 // isClosing reports whether the connection lingers.
@@ -211,13 +240,18 @@
 func (c *connection) setState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isActive = state == http.StateActive
+	c.isActive, c.isReadingBody = state == http.StateActive, false
 	switch state {
 	case http.StateActive:
-		// An error would also end the next read.
-		_ = c.Conn.SetReadDeadline(time.Time{})
+		c.client.Enter(occupancy.Running)
+		if !c.isEvicted {
+			// An error would also end the next read.
+			_ = c.Conn.SetReadDeadline(time.Time{})
+		}
 	case http.StateIdle:
 		c.hasArrived = false
+		c.client.Release()
+		c.client.Enter(occupancy.Idle)
 	}
 }
 
--- a/internal/drain/listener.go
+++ b/internal/drain/listener.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"bluebellhold/internal/tcp"
 )
 
 // listener accepts the connections of a server.
@@ -19,24 +21,37 @@
 	pending []net.Conn
 }
 
-// Accept waits for the next connection.
+// Accept waits for the next connection for which there is room.
 func (l *listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		if conn = l.takePending(); conn == nil {
-			return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			if conn = l.takePending(); conn == nil {
+				return nil, err
+			}
+		}
+		if tracked := l.connections.accept(conn); tracked != nil {
+			return tracked, nil
 		}
 	}
-	config := l.connections.config
-	if config.TLS != nil {
-		conn = tls.Server(conn, config.TLS)
+}
+
+// accept returns the connection as one of the server's. If there is no room for it, it closes it and returns nil.
+func (c *Connections) accept(conn net.Conn) net.Conn {
+	if c.config.TLS != nil {
+		conn = tls.Server(conn, c.config.TLS)
+	}
+	tracked := &connection{Conn: conn, headTimeout: c.config.HeadTimeout, connections: c}
+	tracked.client = c.config.Clients.NewClient(c.config.Door, tracked.evict)
+	if !tracked.client.Open() {
+		tcp.Abort(conn)
+		return nil
 	}
-	tracked := &connection{Conn: conn, headTimeout: config.HeadTimeout, connections: l.connections}
-	if err := conn.SetReadDeadline(time.Now().Add(config.IdleTimeout)); err != nil {
+	if err := conn.SetReadDeadline(time.Now().Add(c.config.IdleTimeout)); err != nil {
 		_ = conn.Close()
 	}
-	l.connections.add(tracked)
-	return tracked, nil
+	c.add(tracked)
+	return tracked
 }
 
 // Close stops accepting connections.
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -35,6 +35,8 @@
 	LinkCapacity int
 	// MemoryLimit is the memory that the process may use.
 	MemoryLimit id.Bytes
+	// Descriptors is the number of descriptors that the process may open.
+	Descriptors int
 	Feed        store.ChangeFeed
 	Tables      Tables
 	HeaderCodec HeaderCodec
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -300,7 +300,7 @@
 		seconds := max(time.Until(r.RetryAt).Seconds(), 0)
 		header["Retry-After"] = []string{strconv.FormatFloat(seconds, 'f', 3, 64)}
 	}
-	body := `{"code":"` + string(r.Code) + `"}`
+	body := refusalBody(r.Code)
 	header["Content-Type"] = []string{"application/json"}
 	header["Content-Length"] = []string{strconv.Itoa(len(body))}
 	x.setResponseDeadline(0)
@@ -310,6 +310,8 @@
 	x.finishResponse(err)
 }
 
+func refusalBody(c entry.Code) string { return `{"code":"` + string(c) + `"}` }
+
 // refusalStatus returns the HTTP status of a refusal. Callers may take only 429 and 503 as a guarantee that the request
 // did not run.
 func refusalStatus(r entry.Refusal) int {
--- a/internal/ingress/instance.go
+++ b/internal/ingress/instance.go
@@ -19,6 +19,7 @@
 	"bluebellhold/internal/drain"
 	"bluebellhold/internal/entry"
 	"bluebellhold/internal/memory"
+	"bluebellhold/internal/occupancy"
 	"bluebellhold/internal/tcp"
 )
 
@@ -63,8 +64,9 @@
 
 	pool          *pool
 	lastRequestID atomic.Uint64
-	// memory counts the bodies and responses of callers' requests.
+	// memory counts the bodies and responses of callers' requests, and clients all connections that are accepted.
 	memory     *memory.Memory
+	clients    *occupancy.Clients
 	isStopping atomic.Bool
 	// stopRequestedAt is set before isStopping.
 	stopRequestedAt time.Time
@@ -110,13 +112,16 @@
 		exchanges:          make(map[id.Request]*exchange),
 		pool:               newPool(c.Registry),
 		memory:             memory.New(c.MemoryLimit/payloadMemoryDivisor, c.Registry),
-		callerConnections:  drain.New(drain.Config{HeadTimeout: readHeaderTimeout, IdleTimeout: maxIdleTimeout}),
 		heartbeatRequested: make(chan struct{}, 1),
 		tables:             make(map[string]*relayedTable),
 	}
 	for _, name := range []string{c.Tables.Operator, c.Tables.Upstreams, c.Tables.Members} {
 		i.tables[name] = newRelayedTable(c.Feed, name)
 	}
+	i.clients = occupancy.New(occupancy.Config{
+		Memory: i.memory, Descriptors: c.Descriptors, Registry: c.Registry, Log: i.log,
+	})
+	i.callerConnections = i.newConnections(occupancy.Callers)
 	i.bodiesEnded, i.endBodies = context.WithCancel(context.Background())
 	i.timer = time.AfterFunc(time.Hour, i.tick)
 	return i
@@ -126,8 +131,9 @@
 func (i *Instance) listen() error {
 	i.callerServer = &http.Server{
 		Handler: http.HandlerFunc(i.serve), IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: i.callerConnections.Track, ErrorLog: i.httpErrorLog(),
+		ErrorLog: i.httpErrorLog(),
 	}
+	i.callerConnections.Attach(i.callerServer)
 	control := mux.NewRouter()
 	control.HandleFunc("/metrics", i.serveMetrics)
 	control.HandleFunc("/dump", i.serveDump)
@@ -148,6 +154,14 @@
 	return nil
 }
 
+// newConnections returns the connections of a server at an address of a kind.
+func (i *Instance) newConnections(door occupancy.Door) *drain.Connections {
+	return drain.New(drain.Config{
+		HeadTimeout: readHeaderTimeout, IdleTimeout: maxIdleTimeout, Clients: i.clients, Door: door,
+		Refusal: refusalBody(entry.CodeOverloaded),
+	})
+}
+
 // httpErrorLog returns the log for errors of HTTP servers, such as panics of handlers; by default they go to standard
 // error, where a write may block.
 func (i *Instance) httpErrorLog() *stdlog.Logger {
--- a/internal/memory/ledger.go
+++ b/internal/memory/ledger.go
@@ -8,6 +8,9 @@
 )
 
 const (
+	// clientParts is the part of the limit that connections and heads may use beside it. What they use beyond that is not
+	// available to bodies and responses, of which they leave a half free.
+	clientParts = 4
 	// tiers divide the memory: requests leave one of tierParts free for each more urgent priority, up to maxTier. Bodies of
 	// requests and large responses leave one more, so that there is always room for small requests.
 	tierParts = 8
@@ -37,7 +40,9 @@
 	limit id.Bytes
 	// held is used by bodies and responses, and reserved is expected to be used by attempts in flight.
 	held, reserved id.Bytes
-	responseSizes  map[id.Route]float64
+	// clients is used by connections and by the heads of requests.
+	clients       id.Bytes
+	responseSizes map[id.Route]float64
 	// seenAt is when a request of each priority last asked for memory.
 	seenAt map[admission.Priority]time.Time
 	// released was released since windowStart, and releasedBefore in the releaseWindow before it.
@@ -53,9 +58,27 @@
 	}
 }
 
+// used returns the part of the limit that is used.
+func (l *ledger) used() id.Bytes {
+	return l.held + l.reserved + max(l.clients-l.limit/clientParts, 0)
+}
+
+// mostForClients returns the memory that connections and heads may use.
+func (l *ledger) mostForClients() id.Bytes { return l.limit/clientParts + l.limit/2 }
+
+// holdClient counts memory for a connection or a head, and reports whether there is enough.
+func (l *ledger) holdClient(size id.Bytes) bool {
+	l.clients += size
+	if l.clients <= l.mostForClients() && l.used() <= l.limit {
+		return true
+	}
+	l.clients -= size
+	return false
+}
+
 // holdBody counts memory for a body that is read, and reports whether there is enough.
 func (l *ledger) holdBody(size id.Bytes, tier int) bool {
-	if l.held+l.reserved+size > l.allowed(largeTier(tier)) {
+	if l.used()+size > l.allowed(largeTier(tier)) {
 		return false
 	}
 	l.held += size
@@ -74,7 +97,7 @@
 // whether there is enough. A response may use all memory, since its request has run.
 func (l *ledger) holdResponse(size id.Bytes, reservation *id.Bytes) bool {
 	fromReservation := min(size, *reservation)
-	if l.held+l.reserved+size-fromReservation > l.limit {
+	if l.used()+size-fromReservation > l.limit {
 		return false
 	}
 	*reservation -= fromReservation
@@ -137,7 +160,7 @@
 	if size > largeSize {
 		tier = largeTier(tier)
 	}
-	if l.held+l.reserved+size > l.allowed(tier) {
+	if l.used()+size > l.allowed(tier) {
 		return 0, false
 	}
 	l.reserved += size
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -20,14 +20,17 @@
 	idleInterval = 10 * time.Second
 )
 
-// Memory counts the memory of bodies and responses. It is safe for concurrent use.
+// Memory counts the memory of bodies and responses, and that of connections and heads. It is safe for concurrent use.
 type Memory struct {
 	held    metrics.Gauge
+	clients metrics.Gauge
 	refused metrics.Counter
 
 	mu      sync.Mutex
 	ledger  ledger
 	waiters int
+	// relieve makes a client release memory, and reports whether there is one.
+	relieve func() bool
 	// released is closed when memory is released.
 	released chan struct{}
 	// free are parts of payloads that have ended. They are used again, since the garbage collector would give large bodies
@@ -48,7 +51,8 @@
 func New(limit id.Bytes, r metrics.Registry) *Memory {
 	return &Memory{
 		ledger: newLedger(limit), released: make(chan struct{}),
-		held: metrics.NewRegisteredGauge("memory.held", r), refused: metrics.NewRegisteredCounter("memory.refused", r),
+		held: metrics.NewRegisteredGauge("memory.held", r), clients: metrics.NewRegisteredGauge("memory.clients", r),
+		refused: metrics.NewRegisteredCounter("memory.refused", r),
 	}
 }
 
@@ -68,6 +72,44 @@
 	return m.holdWithin(ctx, func() bool { return m.ledger.holdResponse(size, reservation) }, size, m.ledger.limit)
 }
 
+// OnShort sets the function that makes a client release memory, soon, when there is none, and reports whether there is such a
+// client. It must be called before the memory is used.
+func (m *Memory) OnShort(relieve func() bool) { m.relieve = relieve }
+
+// HoldClient counts memory for the connection or the request of a client. It waits for memory for a short time, and reports
+// whether there is enough.
+func (m *Memory) HoldClient(size id.Bytes) bool {
+	return m.holdWithin(context.Background(), func() bool { return m.ledger.holdClient(size) }, size, m.ledger.mostForClients())
+}
+
+// TryHoldClient is HoldClient without a wait.
+func (m *Memory) TryHoldClient(size id.Bytes) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.ledger.holdClient(size) {
+		return false
+	}
+	m.update()
+	return true
+}
+
+// ChargeClient counts memory that a client uses already.
+func (m *Memory) ChargeClient(size id.Bytes) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ledger.clients += size
+	m.update()
+}
+
+// ReleaseClient ends the counting of a client's memory.
+func (m *Memory) ReleaseClient(size id.Bytes) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ledger.clients = max(m.ledger.clients-size, 0)
+	m.update()
+	m.wake()
+}
+
 // holdWithin tries to hold memory of a size, again after each release for a short time, and reports whether it succeeded.
 func (m *Memory) holdWithin(ctx context.Context, hold func() bool, size, most id.Bytes) bool {
 	m.mu.Lock()
@@ -78,6 +120,9 @@
 			m.refused.Inc(1)
 			return false
 		}
+		if m.relieveOne() && hold() {
+			break
+		}
 		if timeout == nil {
 			timeout = time.NewTimer(waitTimeout)
 			defer timeout.Stop()
@@ -91,6 +136,16 @@
 	return true
 }
 
+// relieveOne makes a client release memory, and reports whether there is one. The caller holds mu, which is released meanwhile.
+func (m *Memory) relieveOne() bool {
+	if m.relieve == nil {
+		return false
+	}
+	m.mu.Unlock()
+	defer m.mu.Lock()
+	return m.relieve()
+}
+
 // wait waits until memory is released and reports whether it has been. The caller holds mu, which is released meanwhile.
 func (m *Memory) wait(ctx context.Context, timeout *time.Timer) bool {
 	released := m.released
@@ -112,7 +167,8 @@
 // update updates the metric, and drops free parts whose memory is needed otherwise. The caller holds mu.
 func (m *Memory) update() {
 	m.held.Update(int64(m.ledger.held))
-	room := max(m.ledger.limit-m.ledger.held-m.ledger.reserved, 0)
+	m.clients.Update(int64(m.ledger.clients))
+	room := max(m.ledger.limit-m.ledger.used(), 0)
 	m.dropFree(len(m.free) - int(room/PartSize))
 }
 
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -20,6 +20,12 @@
 	maxMemoryMiB = 1 << 20
 )
 
+// The minimum and maximum of descriptors that are set.
+const (
+	minDescriptors = 128
+	maxDescriptors = 1 << 24
+)
+
 // maxLinkMbps is the maximum of Entry.LinkMbps.
 const maxLinkMbps = 1e6
 
@@ -41,8 +47,10 @@
 	// unknown. The instances with the fastest links coordinate the others.
 	LinkMbps float64 `json:"link,omitempty"`
 	// MemoryMiB is the memory in MiB that the process may use.
-	MemoryMiB int64  `json:"memory"`
-	Bounds    Bounds `json:"bounds"`
+	MemoryMiB int64 `json:"memory"`
+	// Descriptors is the number of descriptors that the process may open; zero means the limit of the process.
+	Descriptors int64  `json:"descriptors,omitempty"`
+	Bounds      Bounds `json:"bounds"`
 	// Features names the optional parts to switch on; see package features.
 	Features []string `json:"features,omitempty"`
 	// Terms are the platform's terms for the deployment, which may call for optional parts; unknown ones are ignored.
@@ -143,6 +151,7 @@
 		c.Report("link", strconv.FormatFloat(s.LinkMbps, 'g', -1, 64), "a number from 0 to 1000000")
 	}
 	c.checkRange("memory", s.MemoryMiB, minMemoryMiB, maxMemoryMiB)
+	c.checkDescriptors("descriptors", s.Descriptors)
 	if region := s.RegionByDataCentre[s.DataCentre]; region != s.Region {
 		c.Report("regions", strconv.Quote(string(region))+" for "+string(s.DataCentre), "the region "+string(s.Region))
 	}
@@ -151,6 +160,12 @@
 	c.checkLogLevel(s.LogLevel)
 }
 
+func (c *checker) checkDescriptors(path string, n int64) {
+	if n != 0 {
+		c.checkRange(path, n, minDescriptors, maxDescriptors)
+	}
+}
+
 // checkBounds rejects values that would cause a division by zero or disable a limit, such as those of a missing field.
 func (c *checker) checkBounds(b Bounds) {
 	for path, d := range map[string]Duration{
