Count the heads of requests by their bytes and their fields

150 clients that sent heads of 16 or 60 kB of very short fields, without their end, made the process use 110 MiB of 96.

Cause: net/http keeps a field of five bytes in some 200, before the head is whole, and heads did not count. Ruled out: a bound on the fields of a head, since the users' pages allow heads of 16 KiB of any fields.

Change: each part of a head counts when it is read, with 256 bytes a line, and the whole head again before its handler runs, since it may have been read together with an earlier request.

--- a/internal/drain/connections.go
+++ b/internal/drain/connections.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bluebellhold/internal/occupancy"
@@ -121,6 +122,8 @@
 	isActive bool
 	// isReading is set while the server waits for bytes, and hasArrived once some have arrived since the last response.
 	isReading, hasArrived bool
+	// headAt is when the first byte of the current head arrived, later by as long as the process has held up its caller.
+	headAt time.Time
 	// isReadingBody is set while the server waits for bytes of a request's body.
 	isReadingBody bool
 	// isWriting is set while the client does not take what is written.
@@ -130,7 +133,9 @@
 	// isClosed is set once the connection has been closed, and isLingering while it waits for its caller to close it.
 	isClosed, isLingering bool
 	// isEvicted is set once the connection has been chosen to make room for another one.
-	isEvicted   bool
+	isEvicted bool
+	// isRefused is set once the connection is being closed since there is no room for the head of its request.
+	isRefused   atomic.Bool
 	connections *Connections
 	client      *occupancy.Client
 }
@@ -154,19 +159,27 @@
 		c.isReading = true
 		c.mu.Unlock()
 		n, err := c.Conn.Read(b)
-		if done := c.endRead(n, &err); done {
-			return n, err
+		isHead := false
+		if done := c.endRead(n, &err, &isHead); !done {
+			continue
 		}
+		if isHead && !c.holdHead(b[:n]) {
+			c.refuseHead()
+			return 0, net.ErrClosed
+		}
+		return n, err
 	}
 }
 
-// endRead records the end of a read, and reports whether it is to be returned.
-func (c *connection) endRead(n int, err *error) bool {
+// endRead records the end of a read, and reports whether it is to be returned. It sets isHead if the bytes belong to the head of a
+// request.
+func (c *connection) endRead(n int, err *error, isHead *bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isReading = false
 	isInterrupted := c.isInterrupted
 	c.isInterrupted = false
+	*isHead = n > 0 && !c.isActive
 	switch {
 	case c.isClosed || c.isLingering:
 		*err = net.ErrClosed
@@ -182,6 +195,7 @@
 		*err = net.ErrClosed
 	case n > 0 && !c.isActive && (!c.hasArrived || isInterrupted):
 		if !c.hasArrived {
+			c.headAt = time.Now()
 			c.client.Enter(occupancy.Head)
 		}
 		c.hasArrived = true
@@ -206,6 +220,10 @@
 // Close closes the connection. One with a request in flight has got its response, and is closed once the caller has read it.
 func (c *connection) Close() error {
 	c.mu.Lock()
+	if c.isRefused.Load() {
+		c.mu.Unlock()
+		return nil
+	}
 	isFirst := !c.isClosed && !c.isLingering
 	c.isLingering = isFirst && c.isActive
 	c.isClosed = !c.isLingering
--- a/internal/drain/room.go
+++ b/internal/drain/room.go
@@ -1,7 +1,9 @@
 package drain
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +16,8 @@
 )
 
 const (
+	// fieldBytes is the memory that a field of a head takes beside its text.
+	fieldBytes = id.Bytes(256)
 	// activeBytes is the memory that a request takes beside its head and its body.
 	activeBytes = id.Bytes(16 << 10)
 	// minHeldWrite is the size above which a write counts that may wait for the client.
@@ -24,6 +28,36 @@
 	refusalDelay = time.Second
 )
 
+// headBytes returns the memory that a part of a head takes once it has been parsed.
+func headBytes(part []byte) id.Bytes {
+	return id.Bytes(len(part)) + id.Bytes(bytes.Count(part, []byte{'\n'}))*fieldBytes
+}
+
+// holdHead counts the memory of a part of a head, and reports whether there is any. While it waits for memory, it is not the caller
+// that makes no progress.
+func (c *connection) holdHead(part []byte) bool {
+	startedAt := time.Now()
+	c.client.Enter(occupancy.Running)
+	isHeld := c.client.Hold(headBytes(part))
+	c.mu.Lock()
+	c.headAt = c.headAt.Add(time.Since(startedAt))
+	headAt := c.headAt
+	c.mu.Unlock()
+	c.client.EnterSince(occupancy.Head, time.Since(headAt))
+	return isHeld
+}
+
+// parsedBytes returns the memory that the head of a request takes.
+func parsedBytes(r *http.Request) id.Bytes {
+	size := id.Bytes(len(r.RequestURI))
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += id.Bytes(len(name)+len(value)) + fieldBytes
+		}
+	}
+	return size
+}
+
 type connectionKey struct{}
 
 func withConnection(ctx context.Context, conn net.Conn) context.Context {
@@ -38,7 +72,8 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		isCounted := conn.client.Hold(activeBytes)
+		// A head that was read ahead, together with an earlier request, has not been counted yet.
+		isCounted := conn.client.Hold(activeBytes + parsedBytes(r) - conn.client.Held())
 		if r.Body != nil && r.Body != http.NoBody {
 			body := &requestBody{ReadCloser: r.Body, conn: conn}
 			copied := *r
@@ -70,8 +105,35 @@
 	}
 }
 
+// refuseHead refuses a request whose head has not been read whole, since there is no room for it, and closes the connection.
+func (c *connection) refuseHead() {
+	c.mu.Lock()
+	isFirst := !c.isClosed && !c.isLingering
+	c.isLingering = true
+	c.isRefused.Store(true)
+	c.mu.Unlock()
+	if !isFirst {
+		return
+	}
+	text := fmt.Sprintf("HTTP/1.1 %d %s\r\n", http.StatusServiceUnavailable, http.StatusText(http.StatusServiceUnavailable))
+	for name, value := range c.connections.refusalHeader() {
+		text += name + ": " + value + "\r\n"
+	}
+	go func() {
+		// Errors mean that the client is gone.
+		if c.Conn.SetWriteDeadline(time.Now().Add(evictionTimeout)) == nil {
+			_, _ = io.WriteString(c.Conn, text+"\r\n"+c.connections.config.Refusal)
+		}
+		c.linger()
+	}()
+}
+
 // Write writes to the client. While the client does not take what is written, it makes no progress.
 func (c *connection) Write(b []byte) (int, error) {
+	if c.isRefused.Load() {
+		// The server answers to a head that has not arrived whole.
+		return 0, net.ErrClosed
+	}
 	if c.client == nil || len(b) <= minHeldWrite {
 		return c.Conn.Write(b)
 	}
--- a/internal/drain/room_test.go
+++ b/internal/drain/room_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -48,6 +51,15 @@
 	_, _ = io.WriteString(w, "answer")
 }
 
+// shortFields returns fields of a few bytes each, without the end of the head.
+func shortFields(n int) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, "%x:\r\n", i)
+	}
+	return b.String()
+}
+
 func (c *client) send(t *testing.T, text string) {
 	_, err := io.WriteString(c, text)
 	require.NoError(t, err)
@@ -62,6 +74,57 @@
 	return response.StatusCode, response.Header.Get("Retry-After")
 }
 
+// Guards against heads of legal size whose many fields take far more memory once they are parsed, also while they have not
+// arrived whole.
+func TestHeadsOfManyFieldsCount(t *testing.T) {
+	s := newCountedServer(t, 8<<20, answer)
+	const fields = 8000
+	alone := s.dial()
+	alone.send(t, "GET / HTTP/1.1\r\nHost: example\r\n"+shortFields(fields)+"\r\n")
+	require.NoError(t, alone.answer(), "one request is served")
+	head := "GET / HTTP/1.1\r\nHost: example\r\n" + shortFields(fields)
+	var clients []*client
+	var sending sync.WaitGroup
+	for range mostCallers - 2 {
+		clients = append(clients, s.dial())
+	}
+	for _, c := range clients {
+		sending.Go(func() {
+			// The server may close the connection before it has read all.
+			_, _ = io.WriteString(c, head)
+		})
+	}
+	sending.Wait()
+	refused := 0
+	for _, c := range clients {
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(500*time.Millisecond)))
+		response, err := http.ReadResponse(c.reader, nil)
+		if err != nil {
+			continue
+		}
+		refused++
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		require.Equal(t, "1", response.Header.Get("Retry-After"))
+		text, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Equal(t, refusal, string(text))
+	}
+	require.Positive(t, refused)
+}
+
+// Guards against heads that are read together with an earlier request and so are not counted before they are parsed.
+func TestHeadsSentAheadCount(t *testing.T) {
+	s := newCountedServer(t, 200<<10, answer)
+	c := s.dial()
+	c.send(t, "POST / HTTP/1.1\r\nHost: example\r\nContent-Length: 10\r\n\r\nbody")
+	require.Eventually(t, func() bool { return s.CloseQuiet().Active == 1 }, 5*time.Second, time.Millisecond)
+	c.send(t, "bodies"+"GET / HTTP/1.1\r\nHost: example\r\n"+shortFields(600)+"\r\n")
+	require.NoError(t, c.answer())
+	status, retryAfter := c.status(t)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Equal(t, "1", retryAfter)
+}
+
 // Guards against a caller that loses its connection without a word since it sends its body slowly, and against a handler that
 // can't tell this from a caller that left.
 func TestSlowBodyMakesRoomAndIsToldSo(t *testing.T) {
