Give up the bodies that stall when others need their memory

Callers with a small body got 503 for as long as 150 others sent bodies in small pieces and stopped short of their end: these held all memory for bodies, for 10 s to a minute each, and came again.

Cause: memory that a body had taken was only released at the end of its request. Also, the rest of a body that a handler did not need was awaited without a limit, and trailers stayed in memory as long as their request ran.

Change: a body that waits for memory makes a client give way that has stalled within a request (no 8 KiB in 1 s, a head or an unread response for 1 s). A client whose body is awaited is told 503 with Retry-After and that its request has not run. A request that is about to be sent waits for memory for its response in the same way, if somebody gives way. The rest of an unneeded body has 500 ms.

Crowds of whole bodies still exceed the memory, by what the kernel holds.

--- a/internal/drain/room.go
+++ b/internal/drain/room.go
@@ -22,6 +22,8 @@
 	activeBytes = id.Bytes(16 << 10)
 	// minHeldWrite is the size above which a write counts that may wait for the client.
 	minHeldWrite = 4 << 10
+	// unreadBodyTimeout is how long the rest of a body that is not needed is read, so that the connection can be used again.
+	unreadBodyTimeout = 500 * time.Millisecond
 	// evictionTimeout is how long a client may take to get the reason for its eviction.
 	evictionTimeout = time.Second
 	// refusalDelay is the time after which a client is told to return that was refused for want of room.
@@ -75,10 +77,11 @@
 		// A head that was read ahead, together with an earlier request, has not been counted yet.
 		isCounted := conn.client.Hold(activeBytes + parsedBytes(r) - conn.client.Held())
 		if r.Body != nil && r.Body != http.NoBody {
-			body := &requestBody{ReadCloser: r.Body, conn: conn}
+			body := &requestBody{ReadCloser: r.Body, conn: conn, request: r}
 			copied := *r
 			copied.Body = body
 			r = &copied
+			defer body.finish()
 		}
 		if !isCounted {
 			c.refuse(w)
@@ -189,7 +192,8 @@
 // requestBody is the body of a request.
 type requestBody struct {
 	io.ReadCloser
-	conn *connection
+	conn    *connection
+	request *http.Request
 	// waited is how long the process has waited for the body, and size what has arrived, since the last progress.
 	waited time.Duration
 	size   int
@@ -208,10 +212,22 @@
 	}
 	if err != nil {
 		b.err = err
+		// Nobody uses the trailers.
+		b.request.Trailer = nil
 	}
 	return n, err
 }
 
+// finish bounds the time in which the server reads the rest of a body that its handler has left.
+func (b *requestBody) finish() {
+	if b.err != nil {
+		return
+	}
+	// An error means that the connection has been closed.
+	_ = b.conn.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	b.conn.startBody(0)
+}
+
 // startBody records that the server waits for bytes of a body, and has waited for a time without progress.
 func (c *connection) startBody(waited time.Duration) {
 	c.mu.Lock()
--- a/internal/drain/room_test.go
+++ b/internal/drain/room_test.go
@@ -146,3 +146,25 @@
 	status, _ := slow.status(t)
 	require.Equal(t, http.StatusServiceUnavailable, status)
 }
+
+// Guards against trailers, which nobody uses, that stay in memory as long as their request runs.
+func TestTrailersAreDropped(t *testing.T) {
+	trailers := make(chan int, 1)
+	s := newCountedServer(t, 8<<20, func(w http.ResponseWriter, r *http.Request) {
+		answer(w, r)
+		trailers <- len(r.Trailer)
+	})
+	c := s.dial()
+	c.send(t, "POST / HTTP/1.1\r\nHost: example\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\n"+shortFields(300)+"\r\n")
+	require.NoError(t, c.answer())
+	require.Zero(t, <-trailers)
+}
+
+// Guards against a body that a handler does not need and that never arrives whole: the server would wait for it for ever.
+func TestRestOfABodyIsNotAwaited(t *testing.T) {
+	s := newCountedServer(t, 8<<20, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") })
+	for _, framing := range []string{"Content-Length: 10", "Transfer-Encoding: chunked"} {
+		s.dial().send(t, "POST / HTTP/1.1\r\nHost: example\r\n"+framing+"\r\n\r\n3\r\nbod\r\n")
+	}
+	require.Eventually(t, func() bool { return s.handled.Load() == 0 && s.CloseQuiet().Total() == 0 }, 10*time.Second, time.Millisecond)
+}
--- a/internal/ingress/hold.go
+++ b/internal/ingress/hold.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bluebellhold/id"
+	"bluebellhold/internal/drain"
 	"bluebellhold/internal/entry"
 	"bluebellhold/internal/memory"
 )
@@ -96,6 +97,9 @@
 	var short *memory.ShortError
 	var large *memory.TooLargeError
 	switch {
+	case errors.As(err, new(*drain.EvictedError)):
+		x.w.Header().Set("Connection", "close")
+		x.refuse(entry.Refusal{Code: entry.CodeOverloaded, RetryAt: x.memory.ReturnAt(id.Bytes(max(x.r.ContentLength, 0)))})
 	case errors.As(err, &large):
 		x.refuse(entry.Refusal{Code: entry.CodeInvalidBody})
 	case errors.As(err, &short):
@@ -126,7 +130,7 @@
 // attemptWithin makes an attempt if there is memory for the expected response. If there is none, nothing is sent, and the
 // request is refused.
 func (x *exchange) attemptWithin(d entry.Dispatch) entry.AttemptOutcome {
-	reserved, ok := x.memory.Reserve(d.Diagnostics.Route, d.Priority, x.joinedSize())
+	reserved, ok := x.memory.Reserve(x.r.Context(), d.Diagnostics.Route, d.Priority, x.joinedSize())
 	if !ok {
 		x.isMemoryShort = true
 		x.requestLog.logMemoryShort(x, d)
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -226,11 +226,22 @@
 }
 
 // Reserve reserves memory for the response to a request that is about to be sent and for a copy of its body that sending
-// takes, and reports whether there is enough. EndReservation must follow.
-func (m *Memory) Reserve(route id.Route, priority admission.Priority, bodyCopy id.Bytes) (id.Bytes, bool) {
+// takes, and reports whether there is enough. If a client can release some, it waits for that for a short time. EndReservation
+// must follow.
+func (m *Memory) Reserve(ctx context.Context, route id.Route, priority admission.Priority, bodyCopy id.Bytes) (id.Bytes, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	deadline := time.Now().Add(waitTimeout)
 	size, ok := m.ledger.reserve(time.Now(), route, priority, bodyCopy)
+	for !ok && m.relieveOne() {
+		timeout := time.NewTimer(time.Until(deadline))
+		isReleased := m.wait(ctx, timeout)
+		timeout.Stop()
+		if !isReleased {
+			break
+		}
+		size, ok = m.ledger.reserve(time.Now(), route, priority, bodyCopy)
+	}
 	if !ok {
 		m.refused.Inc(1)
 	}
--- a/internal/memory/payload_test.go
+++ b/internal/memory/payload_test.go
@@ -127,7 +127,7 @@
 				if err != nil {
 					continue
 				}
-				if reservation, ok := m.Reserve("r", urgent, 0); ok {
+				if reservation, ok := m.Reserve(context.Background(), "r", urgent, 0); ok {
 					response, err := m.ReadResponse(context.Background(), bytes.NewReader(make([]byte, size)), -1, 0, &reservation)
 					if err == nil {
 						response.Release()
@@ -182,7 +182,7 @@
 // Guards against a response that exceeds the memory although its attempt has reserved less.
 func TestResponseBeyondItsReservationMustFit(t *testing.T) {
 	m := New(16*PartSize, metrics.NewRegistry())
-	reservation, ok := m.Reserve("r", urgent, 0)
+	reservation, ok := m.Reserve(context.Background(), "r", urgent, 0)
 	require.True(t, ok)
 	_, err := m.ReadResponse(context.Background(), bytes.NewReader(make([]byte, 17*PartSize)), -1, 0, &reservation)
 	var short *ShortError
--- a/internal/occupancy/clients.go
+++ b/internal/occupancy/clients.go
@@ -133,6 +133,7 @@
 		open:    make(map[*Client]struct{}),
 	}
 	clients.queues[forMemory].chosenAt = -scanInterval
+	c.Memory.OnShort(clients.Relieve)
 	return clients
 }
 
@@ -203,6 +204,10 @@
 	c.current.Update(int64(len(c.open)))
 }
 
+// Relieve evicts a client that has stalled within a request, since something is short that it occupies, and reports whether there
+// was one.
+func (c *Clients) Relieve() bool { return c.evictOne(Control, forMemory) }
+
 // evictOne evicts the client that has made no progress for the longest time, measured by what its phase allows, and reports whether
 // there was one. Among callers, it evicts a caller.
 func (c *Clients) evictOne(among Door, n need) bool {
--- a/internal/occupancy/clients_test.go
+++ b/internal/occupancy/clients_test.go
@@ -111,6 +111,21 @@
 	require.True(t, f.memory.TryHoldClient(plenty/2))
 }
 
+// Guards against stalled clients that keep the memory of others.
+func TestStalledClientsMakeRoomInMemory(t *testing.T) {
+	const size = id.Bytes(1 << 20)
+	f := newFixture(8 * size)
+	stalled := f.connectAll(t, 1, occupancy.Callers, occupancy.Body, time.Minute)[0]
+	busy := f.connectAll(t, 1, occupancy.Callers, occupancy.Body, 0)[0]
+	require.True(t, stalled.Hold(3*size))
+	require.True(t, busy.Hold(2*size))
+	other := f.connectAll(t, 1, occupancy.Callers, occupancy.Head, 0)[0]
+	require.True(t, other.Hold(2*size))
+	require.Equal(t, []*occupancy.Client{stalled}, f.evicted)
+	require.False(t, other.Hold(8*size), "it never fits")
+	require.Len(t, f.evicted, 1)
+}
+
 // Guards against a client that is counted no more since it could not be evicted.
 func TestClientThatMadeProgressIsSpared(t *testing.T) {
 	f := newFixture(plenty)
