Bound and count what the kernel holds of the connections of clients

Crowds of bodies, of bodies above the limit, of requests sent ahead and of unread responses made a process with its kernel buffers exceed 96 MiB: up to 75 MiB were unread input and unsent output, some 480 KiB a connection.

Cause: the kernel's buffers had 512 KiB each way, and did not count. Ruled out: counting the buffers of each open connection, which are empty unless a client sends ahead or does not read.

Change: buffers of 64 KiB, which count while they may be full: while a body is read, a further request has been sent ahead, a large response is written, or a response has not left when its request ends (SIOCOUTQNSD); a client of the last kind counts as stalled.

--- a/internal/drain/connections.go
+++ b/internal/drain/connections.go
@@ -124,8 +124,8 @@
 	isReading, hasArrived bool
 	// headAt is when the first byte of the current head arrived, later by as long as the process has held up its caller.
 	headAt time.Time
-	// isReadingBody is set while the server waits for bytes of a request's body.
-	isReadingBody bool
+	// hasBody is set once the server has waited for bytes of the current request's body, and isReadingBody while it does.
+	hasBody, isReadingBody bool
 	// isWriting is set while the client does not take what is written.
 	isWriting bool
 	// isInterrupted is set while closeQuiet has interrupted a read.
@@ -180,6 +180,10 @@
 	isInterrupted := c.isInterrupted
 	c.isInterrupted = false
 	*isHead = n > 0 && !c.isActive
+	if n > 0 && c.isActive && !c.isReadingBody {
+		// The client has sent another request ahead, which stays in the kernel.
+		c.client.Charge(kernelBytes)
+	}
 	switch {
 	case c.isClosed || c.isLingering:
 		*err = net.ErrClosed
@@ -258,7 +262,7 @@
 func (c *connection) setState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isActive, c.isReadingBody = state == http.StateActive, false
+	c.isActive, c.hasBody, c.isReadingBody = state == http.StateActive, false, false
 	switch state {
 	case http.StateActive:
 		c.client.Enter(occupancy.Running)
@@ -269,6 +273,11 @@
 	case http.StateIdle:
 		c.hasArrived = false
 		c.client.Release()
+		if tcp.HasUnsentOutput(c.Conn) {
+			c.client.Charge(kernelBytes)
+			c.client.Enter(occupancy.Response)
+			return
+		}
 		c.client.Enter(occupancy.Idle)
 	}
 }
--- a/internal/drain/room.go
+++ b/internal/drain/room.go
@@ -16,6 +16,11 @@
 )
 
 const (
+	// BufferBytes is the size that each of the kernel's buffers of a client's connection is to have, which count towards the
+	// memory of the process. The kernel doubles it.
+	BufferBytes = 32 << 10
+	// kernelBytes is what one of these buffers may hold.
+	kernelBytes = id.Bytes(2 * BufferBytes)
 	// fieldBytes is the memory that a field of a head takes beside its text.
 	fieldBytes = id.Bytes(256)
 	// activeBytes is the memory that a request takes beside its head and its body.
@@ -140,11 +145,13 @@
 	if c.client == nil || len(b) <= minHeldWrite {
 		return c.Conn.Write(b)
 	}
+	c.client.Charge(kernelBytes)
 	c.setWriting(true)
 	c.client.Enter(occupancy.Response)
 	n, err := c.Conn.Write(b)
 	c.client.Enter(occupancy.Running)
 	c.setWriting(false)
+	c.client.Drop(kernelBytes)
 	return n, err
 }
 
@@ -231,8 +238,12 @@
 // startBody records that the server waits for bytes of a body, and has waited for a time without progress.
 func (c *connection) startBody(waited time.Duration) {
 	c.mu.Lock()
-	c.isReadingBody = true
+	isFirst := !c.hasBody
+	c.hasBody, c.isReadingBody = true, true
 	c.mu.Unlock()
+	if isFirst {
+		c.client.Charge(kernelBytes)
+	}
 	c.client.EnterSince(occupancy.Body, waited)
 }
 
--- a/internal/ingress/instance.go
+++ b/internal/ingress/instance.go
@@ -33,9 +33,6 @@
 	// keepAliveInterval is the idle time and the interval of the TCP keep-alive probes, which detect callers that
 	// disappeared without closing their connection.
 	keepAliveInterval = 5 * time.Second
-	// callerBufferBytes is the size of each of the kernel's buffers of a caller's connection, which count towards the memory
-	// of the process. It does for 1,000 Mbit/s at a round trip of 2 ms, and 20 Mbit/s at 100 ms.
-	callerBufferBytes = 256 << 10
 )
 
 // Instance is one instance of the fleet. It is safe for concurrent use.
@@ -172,7 +169,7 @@
 	config := net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 3},
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			if err := tcp.LimitBuffers(raw, callerBufferBytes); err != nil {
+			if err := tcp.LimitBuffers(raw, drain.BufferBytes); err != nil {
 				i.log.Warn("instance: the kernel's buffers are not limited", "address", address, "error", err)
 			}
 			return nil
--- a/internal/tcp/option.go
+++ b/internal/tcp/option.go
@@ -5,6 +5,7 @@
 	"net"
 	"syscall"
 	"time"
+	"unsafe"
 )
 
 const (
@@ -119,6 +120,27 @@
 	return err != nil || isReadable
 }
 
+// ioctlUnsent is SIOCOUTQNSD, which package syscall does not define: the output that has not been sent yet.
+const ioctlUnsent = 0x894B
+
+// HasUnsentOutput reports whether the socket below a connection holds output that its other side has no room for. It is false if
+// there is no socket.
+func HasUnsentOutput(conn net.Conn) bool {
+	socket, ok := innermost(conn).(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var unsent int32
+	err = raw.Control(func(fd uintptr) {
+		_, _, _ = syscall.Syscall(syscall.SYS_IOCTL, fd, ioctlUnsent, uintptr(unsafe.Pointer(&unsent)))
+	})
+	return err == nil && unsent > 0
+}
+
 // IsReset reports whether the other side has reset the connection, also while input from before the reset is unread. It
 // reports a reset once, and the connection can't be used afterwards.
 func IsReset(conn net.Conn) bool {
