Count the clients of readiness, look-ups and metrics like callers

The same crowds at the addresses for readiness, look-ups and metrics took all descriptors, so that callers got no answer, or exceeded the memory.

Cause: these servers had no bounds but 10 s for a head: heads of up to 1 MiB, no time for bodies that nobody reads nor for responses that are not read, and connections that did not count.

Change: they use internal/drain with the same count as callers, who leave a sixteenth of the places to them. Requests have 10 s, heads 64 KiB, and a response that is written counts until the kernel has taken it.

At readiness and metrics, clients that leave still keep ordinary ones out, for a cause of its own.

--- a/internal/drain/connections.go
+++ b/internal/drain/connections.go
@@ -28,6 +28,8 @@
 	Clients *occupancy.Clients
 	// Door is the kind of the address.
 	Door occupancy.Door
+	// HoldsWrites is set if what is written to a client is not counted otherwise until its kernel has taken it.
+	HoldsWrites bool
 	// Refusal is the body with which a request is refused for which there is no room.
 	Refusal string
 }
--- a/internal/drain/room.go
+++ b/internal/drain/room.go
@@ -145,13 +145,19 @@
 	if c.client == nil || len(b) <= minHeldWrite {
 		return c.Conn.Write(b)
 	}
+	var held id.Bytes
+	if c.connections.config.HoldsWrites {
+		if held = id.Bytes(len(b)); !c.client.Hold(held) {
+			return 0, &ShortError{}
+		}
+	}
 	c.client.Charge(kernelBytes)
 	c.setWriting(true)
 	c.client.Enter(occupancy.Response)
 	n, err := c.Conn.Write(b)
 	c.client.Enter(occupancy.Running)
 	c.setWriting(false)
-	c.client.Drop(kernelBytes)
+	c.client.Drop(held + kernelBytes)
 	return n, err
 }
 
@@ -261,3 +267,9 @@
 func (e *EvictedError) Error() string {
 	return "drain: the request was given up to make room for others"
 }
+
+// ShortError reports that there is no memory for what a client would have to take.
+type ShortError struct{}
+
+// Error describes the reason.
+func (e *ShortError) Error() string { return "drain: no memory for a response" }
--- a/internal/ingress/instance.go
+++ b/internal/ingress/instance.go
@@ -30,6 +30,9 @@
 	maxIdleTimeout    = 75 * time.Second
 	// maxHeaderBytes is the largest header that is read; the limit of the operator's document is checked afterwards.
 	maxHeaderBytes = 64 << 10
+	// controlTimeout bounds the time of a request for readiness, a look-up or metrics, from its first byte to the end of its
+	// response.
+	controlTimeout = 10 * time.Second
 	// keepAliveInterval is the idle time and the interval of the TCP keep-alive probes, which detect callers that
 	// disappeared without closing their connection.
 	keepAliveInterval = 5 * time.Second
@@ -142,11 +145,16 @@
 	i.listeners[0] = i.callerConnections.Listen(i.listeners[0])
 	for _, address := range []string{i.config.ReadinessAddress, i.config.LookupAddress, i.config.MetricsAddress} {
 		server := &http.Server{
-			Handler: control, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: maxIdleTimeout, ErrorLog: i.httpErrorLog(),
+			Handler: control, IdleTimeout: maxIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: i.httpErrorLog(),
+			ReadTimeout: controlTimeout, WriteTimeout: controlTimeout,
 		}
+		connections := i.newConnections(occupancy.Control)
+		connections.Attach(server)
 		if err := i.bind(address, server); err != nil {
 			return err
 		}
+		last := len(i.listeners) - 1
+		i.listeners[last] = connections.Listen(i.listeners[last])
 	}
 	return nil
 }
@@ -155,7 +163,7 @@
 func (i *Instance) newConnections(door occupancy.Door) *drain.Connections {
 	return drain.New(drain.Config{
 		HeadTimeout: readHeaderTimeout, IdleTimeout: maxIdleTimeout, Clients: i.clients, Door: door,
-		Refusal: refusalBody(entry.CodeOverloaded),
+		HoldsWrites: door == occupancy.Control, Refusal: refusalBody(entry.CodeOverloaded),
 	})
 }
 
