Let strangers at the address for sessions make room for instances

An instance that started while 700 strangers sat at the address for sessions of another one opened no session with it.

Cause: 64 handshakes at a time, and whoever came first kept a place for 3 s.

Change: accepted connections count as clients; a stranger that has not proved to be an instance makes room for the next connection, and the bound of 64 goes. Tunnels count two descriptors.

--- a/internal/ingress/sessions.go
+++ b/internal/ingress/sessions.go
@@ -199,7 +199,7 @@
 func (f *follower) startTransport(secret []byte) error {
 	transport, err := peer.New(peer.Config{
 		Self: f.config.Instance, Incarnation: id.Incarnation(f.startTime), Listen: f.config.PeerAddress, Secret: secret,
-		Log: f.log, Registry: f.registry, OnMessage: f.handleEnvelope, OnTunnel: f.connectTunnel,
+		Log: f.log, Registry: f.registry, Clients: f.clients, OnMessage: f.handleEnvelope, OnTunnel: f.connectTunnel,
 		OnOpened: func(name id.Instance) { f.Post(entry.SessionOpened{Instance: name}) },
 		OnClosed: func(name id.Instance) { f.Post(entry.SessionClosed{Instance: name}) },
 	})
--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -4,22 +4,59 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"bluebellhold/id"
+	"bluebellhold/internal/occupancy"
 	"bluebellhold/internal/wire"
 )
 
 const (
-	// maxConcurrentHandshakes limits the connections that unauthenticated clients can hold open.
-	maxConcurrentHandshakes = 64
+	// defaultDescriptors bounds the connections of a Transport whose Config has no Clients.
+	defaultDescriptors = 1024
+	// defaultMemory is what these connections may take.
+	defaultMemory id.Bytes = 64 << 20
 	// acceptRetryDelay keeps the accept loop from spinning when the process is out of file descriptors.
 	acceptRetryDelay = 50 * time.Millisecond
 	// refusalLogInterval limits the rate of log messages about refused handshakes, which any client can cause.
 	refusalLogInterval = 10 * time.Second
 )
 
-// acceptLoop handles each connection in its own goroutine, and closes connections that exceed maxConcurrentHandshakes.
+// clientConn is an accepted connection, which counts as a client until it is closed. Strangers make room for others until they
+// have authenticated themselves.
+type clientConn struct {
+	net.Conn
+	client          *occupancy.Client
+	isAuthenticated atomic.Bool
+}
+
+// NetConn returns the connection below.
+func (c *clientConn) NetConn() net.Conn { return c.Conn }
+
+// Close closes the connection.
+func (c *clientConn) Close() error {
+	err := c.Conn.Close()
+	c.client.End()
+	return err
+}
+
+// evict closes the connection of a stranger, and reports whether it is one.
+func (c *clientConn) evict(bool) bool {
+	if c.isAuthenticated.Load() {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
+// authenticate records that the connection is that of another instance.
+func (c *clientConn) authenticate() {
+	c.isAuthenticated.Store(true)
+	c.client.Enter(occupancy.Running)
+}
+
+// acceptLoop handles each connection for which there is room in its own goroutine.
 func (t *Transport) acceptLoop() {
 	for {
 		conn, err := t.listener.Accept()
@@ -31,13 +68,15 @@
 			t.sleep(acceptRetryDelay)
 			continue
 		}
-		select {
-		case t.handshakeSlots <- struct{}{}:
-			t.goroutines.Go(func() { t.handleConn(conn) })
-		default:
+		accepted := &clientConn{Conn: conn}
+		accepted.client = t.config.Clients.NewClient(occupancy.Control, accepted.evict)
+		accepted.client.Enter(occupancy.Head)
+		if !accepted.client.Open() {
 			t.counters.refused.Inc(1)
 			conn.Close()
+			continue
 		}
+		t.goroutines.Go(func() { t.handleConn(accepted) })
 	}
 }
 
@@ -50,11 +89,10 @@
 }
 
 // handleConn turns an accepted connection into a session or closes it.
-func (t *Transport) handleConn(conn net.Conn) {
+func (t *Transport) handleConn(conn *clientConn) {
 	t.counters.handshakes.Inc(1)
-	tunnel, err := t.upgradeAccepted(&countingConn{Conn: conn, counters: t.counters})
+	tunnel, err := t.upgradeAccepted(conn)
 	t.counters.handshakes.Dec(1)
-	<-t.handshakeSlots
 	if err == nil && tunnel != nil {
 		t.serveTunnel(tunnel)
 		return
@@ -88,12 +126,12 @@
 
 // upgradeAccepted authenticates an accepted connection and installs a session on it, unless it is for a tunnel, which it
 // returns.
-func (t *Transport) upgradeAccepted(rawConn net.Conn) (*acceptedTunnel, error) {
+func (t *Transport) upgradeAccepted(accepted *clientConn) (*acceptedTunnel, error) {
 	ctx, cancel := context.WithTimeout(t.ctx, handshakeTimeout)
 	defer cancel()
-	stop := context.AfterFunc(ctx, func() { rawConn.Close() })
+	stop := context.AfterFunc(ctx, func() { accepted.Close() })
 	defer stop()
-	conn, err := t.wrapTLS(ctx, rawConn, "")
+	conn, err := t.wrapTLS(ctx, &countingConn{Conn: accepted, counters: t.counters}, "")
 	if err != nil {
 		return nil, err
 	}
@@ -102,6 +140,7 @@
 		return nil, err
 	}
 	hello, err := h.accept(conn, func(hello *wire.Hello) error {
+		accepted.authenticate()
 		if err := verifyCertificateName(conn, id.Instance(hello.GetInstance())); err != nil {
 			return err
 		}
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -10,6 +10,8 @@
 	"github.com/rcrowley/go-metrics"
 
 	"bluebellhold/id"
+	"bluebellhold/internal/memory"
+	"bluebellhold/internal/occupancy"
 	"bluebellhold/internal/wire"
 )
 
@@ -33,6 +35,8 @@
 	Log *log.Logger
 	// Registry holds the counters; nil means a private registry.
 	Registry metrics.Registry
+	// Clients counts the accepted connections among the clients of the process; nil counts them alone.
+	Clients *occupancy.Clients
 	// OnMessage handles a received message. Each session calls it from two goroutines, one for EpochReply messages and
 	// one for all others. It must not call Close, and further messages from the peer wait until it returns.
 	OnMessage func(from id.Instance, m *wire.Envelope)
@@ -67,6 +71,11 @@
 	if c.Registry == nil {
 		c.Registry = metrics.NewRegistry()
 	}
+	if c.Clients == nil {
+		c.Clients = occupancy.New(occupancy.Config{
+			Memory: memory.New(defaultMemory, metrics.NewRegistry()), Descriptors: defaultDescriptors,
+		})
+	}
 	if c.OnMessage == nil {
 		c.OnMessage = func(id.Instance, *wire.Envelope) {}
 	}
--- a/internal/peer/export_test.go
+++ b/internal/peer/export_test.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = newTransport(config, nil).upgradeAccepted(conn)
+	_, err = newTransport(config, nil).upgradeAccepted(&clientConn{Conn: conn})
 	return err
 }
 
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -16,14 +16,13 @@
 
 // Transport maintains the sessions of one instance with its peers. It is safe for concurrent use.
 type Transport struct {
-	config         Config
-	log            *log.Logger
-	counters       counters
-	listener       net.Listener
-	ctx            context.Context
-	cancel         context.CancelFunc
-	goroutines     sync.WaitGroup
-	handshakeSlots chan struct{}
+	config     Config
+	log        *log.Logger
+	counters   counters
+	listener   net.Listener
+	ctx        context.Context
+	cancel     context.CancelFunc
+	goroutines sync.WaitGroup
 	// servedTunnels counts the tunnels that lead to upstreams through this instance, those being opened among them.
 	servedTunnels atomic.Int64
 
@@ -51,12 +50,11 @@
 
 func newTransport(config Config, listener net.Listener) *Transport {
 	t := &Transport{
-		config:         config,
-		log:            config.Log.WithPrefix("peer"),
-		counters:       newCounters(config.Registry),
-		listener:       listener,
-		handshakeSlots: make(chan struct{}, maxConcurrentHandshakes),
-		peers:          make(map[id.Instance]*peerState),
+		config:   config,
+		log:      config.Log.WithPrefix("peer"),
+		counters: newCounters(config.Registry),
+		listener: listener,
+		peers:    make(map[id.Instance]*peerState),
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	return t
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"bluebellhold/id"
+	"bluebellhold/internal/occupancy"
 	"bluebellhold/internal/tcp"
 	"bluebellhold/internal/wire"
 )
@@ -171,6 +172,8 @@
 	conn   net.Conn
 	peer   id.Instance
 	target TunnelTarget
+	// upstream counts the connection to the upstream, which the peer occupies too.
+	upstream *occupancy.Client
 }
 
 // ServedTunnels returns the number of tunnels that lead to upstreams through this instance.
@@ -182,6 +185,9 @@
 		t.log.Warn("too many tunnels", "peer", a.peer, "limit", maxServedTunnels)
 		return nil, &TunnelRefusedError{Peer: t.config.Self}
 	}
+	if !a.upstream.Open() {
+		return nil, &TunnelRefusedError{Peer: t.config.Self}
+	}
 	ctx, cancel := context.WithTimeout(t.ctx, tunnelTimeout)
 	defer cancel()
 	return t.config.OnTunnel(ctx, a.peer, a.target)
@@ -191,6 +197,9 @@
 func (t *Transport) serveTunnel(a *acceptedTunnel) {
 	t.servedTunnels.Add(1)
 	defer t.servedTunnels.Add(-1)
+	a.upstream = t.config.Clients.NewClient(occupancy.Control, func(bool) bool { return false })
+	a.upstream.Enter(occupancy.Running)
+	defer a.upstream.End()
 	upstream, err := t.connectUpstream(a)
 	status := wire.TunnelReply_OPEN
 	var refused *TunnelRefusedError
