Count the clients of fleets run by release notes

Instances that are run by release notes had the same faults as those that follow a store, at the addresses of callers, look-ups and operators: all 512 descriptors taken, up to 131 MiB of 96 used, ordinary requests without an answer.

Change: one internal/occupancy for callers, operators and sessions; `limits.descriptors`; operators have 40 s for a request. A refusal for want of room is that of this interface: code queue, outcome not run, a time to return.

--- a/config.go
+++ b/config.go
@@ -35,8 +35,12 @@
 	MaxBody id.Bytes
 	// MaxClaimedBody limits the body of a non-idempotent request, which is read into memory as a whole; zero means 1 MiB.
 	MaxClaimedBody id.Bytes
-	// MaxMemory limits the bodies and responses that are in memory at the same time; zero means 256 MiB.
+	// MaxMemory limits the bodies and responses that are in memory at the same time; zero means 256 MiB. Connections and heads
+	// may use a quarter more.
 	MaxMemory id.Bytes
+	// MaxDescriptors is the number of descriptors that the process may open, of which connections that are accepted may use a
+	// half; zero means 65,536.
+	MaxDescriptors int
 	// MaxHeader limits the header of a request; zero means 64 KiB.
 	MaxHeader id.Bytes
 	// QueueClassLimit is the maximum number of requests of one class that wait for a service; zero means 1024.
--- a/instance.go
+++ b/instance.go
@@ -13,6 +13,8 @@
 
 	"bluebellhold/id"
 	"bluebellhold/internal/gateway"
+	"bluebellhold/internal/memory"
+	"bluebellhold/internal/occupancy"
 	"bluebellhold/internal/operator"
 	"bluebellhold/internal/peer"
 	"bluebellhold/internal/settings"
@@ -26,8 +28,10 @@
 	gaugeInterval     = time.Second
 	probeTimeout      = time.Second
 	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
-	shutdownTimeout   = 30 * time.Second
+	// operatorTimeout bounds the time of an operator's request: a note may take 30 s.
+	operatorTimeout = 40 * time.Second
+	idleTimeout     = 2 * time.Minute
+	shutdownTimeout = 30 * time.Second
 	// callerCloseTimeout exceeds the longest deadline that a caller can set, so that a planned stop aborts no request.
 	callerCloseTimeout = 11 * time.Minute
 )
@@ -48,6 +52,7 @@
 	lastProposalID atomic.Uint64
 	transport      *peer.Transport
 	gateway        *gateway.Gateway
+	clients        *occupancy.Clients
 	probeClient    *http.Client
 	callerServer   *server
 	operatorServer *server
@@ -72,6 +77,9 @@
 	if c.MaxHeader == 0 {
 		c.MaxHeader = settings.DefaultMaxHeader
 	}
+	if c.MaxMemory == 0 {
+		c.MaxMemory = settings.DefaultMaxMemory
+	}
 	if c.Incarnation == 0 {
 		c.Incarnation = id.Incarnation(time.Now().UnixNano())
 	}
@@ -92,9 +100,13 @@
 		cancel:      cancel,
 	}
 	metrics.NewRegisteredFunctionalGauge("log.dropped", c.Registry, func() int64 { return int64(c.Log.Dropped()) })
+	counted := memory.New(c.MaxMemory, c.Registry)
+	i.clients = occupancy.New(occupancy.Config{
+		Memory: counted, Descriptors: c.MaxDescriptors, Registry: c.Registry, Log: i.log,
+	})
 	i.gateway = gateway.New(gateway.Config{
 		Engine: i, Log: i.log.WithPrefix("gateway"), Registry: c.Registry, MaxBody: c.MaxBody,
-		MaxClaimedBody: c.MaxClaimedBody, MaxMemory: c.MaxMemory, OpenTunnel: i.openTunnel,
+		MaxClaimedBody: c.MaxClaimedBody, Memory: counted, OpenTunnel: i.openTunnel,
 	})
 	if err := i.listen(); err != nil {
 		i.close()
@@ -106,14 +118,20 @@
 // listen opens the listeners for callers, operators and peers.
 func (i *Instance) listen() error {
 	var err error
-	i.callerServer, err = newServer(i.config.Self.Caller, i.gateway, i.config.CallerTLS, i.config.MaxHeader)
+	i.callerServer, err = newServer(serverConfig{
+		address: i.config.Self.Caller, handler: i.gateway, tls: i.config.CallerTLS, maxHeader: i.config.MaxHeader,
+		clients: i.clients, door: occupancy.Callers,
+	})
 	if err != nil {
 		return err
 	}
 	api := operator.New(operator.Config{
 		Backend: backend{i}, Token: settings.NewSecret(i.config.Token), Registry: i.registry, Log: i.log.WithPrefix("operator"),
 	})
-	i.operatorServer, err = newServer(i.config.Operator, i.withFaultInjection(api), i.config.OperatorTLS, i.config.MaxHeader)
+	i.operatorServer, err = newServer(serverConfig{
+		address: i.config.Operator, handler: i.withFaultInjection(api), tls: i.config.OperatorTLS,
+		maxHeader: i.config.MaxHeader, clients: i.clients, door: occupancy.Control, timeout: operatorTimeout,
+	})
 	if err != nil {
 		return err
 	}
@@ -125,6 +143,7 @@
 		Certificates: i.config.PeerCertificates,
 		Log:          i.log.WithPrefix("peer"),
 		Registry:     i.registry,
+		Clients:      i.clients,
 		OnMessage:    i.receive,
 		OnTunnel:     i.connectTunnel,
 		IsBlocked:    i.blockedPeers.isBlocked,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -184,6 +184,7 @@
 
 		MaxClaimedBody:  s.Limits.MaxClaimedBody,
 		MaxMemory:       s.Limits.MaxMemory,
+		MaxDescriptors:  descriptorLimit(s.Limits.Descriptors),
 		MaxHeader:       s.Limits.MaxHeader,
 		QueueClassLimit: s.Limits.QueueClassLimit,
 	}
--- a/internal/drain/connections.go
+++ b/internal/drain/connections.go
@@ -30,8 +30,10 @@
 	Door occupancy.Door
 	// HoldsWrites is set if what is written to a client is not counted otherwise until its kernel has taken it.
 	HoldsWrites bool
-	// Refusal is the body with which a request is refused for which there is no room.
-	Refusal string
+	// Refusal is the body with which a request is refused for which there is no room, and RefusalHeader what its header has
+	// beside the usual fields.
+	Refusal       string
+	RefusalHeader map[string]string
 }
 
 // lingerTimeout is how long a connection that is closed after a response waits for its caller to close it too. The kernel
--- a/internal/drain/room.go
+++ b/internal/drain/room.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -31,8 +32,8 @@
 	unreadBodyTimeout = 500 * time.Millisecond
 	// evictionTimeout is how long a client may take to get the reason for its eviction.
 	evictionTimeout = time.Second
-	// refusalDelay is the time after which a client is told to return that was refused for want of room.
-	refusalDelay = time.Second
+	// RefusalDelay is the time after which a client is told to return that was refused for want of room.
+	RefusalDelay = time.Second
 )
 
 // headBytes returns the memory that a part of a head takes once it has been parsed.
@@ -107,10 +108,12 @@
 }
 
 func (c *Connections) refusalHeader() map[string]string {
-	return map[string]string{
+	header := map[string]string{
 		"Connection": "close", "Content-Type": "application/json", "Content-Length": strconv.Itoa(len(c.config.Refusal)),
-		"Retry-After": strconv.Itoa(int(refusalDelay / time.Second)),
+		"Retry-After": strconv.Itoa(int(RefusalDelay / time.Second)),
 	}
+	maps.Copy(header, c.config.RefusalHeader)
+	return header
 }
 
 // refuseHead refuses a request whose head has not been read whole, since there is no room for it, and closes the connection.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,6 +69,8 @@
 	// MaxMemory limits the bodies and responses that are in memory at the same time, by default DefaultMaxMemory. Requests
 	// may use five eighths of it.
 	MaxMemory id.Bytes
+	// Memory counts these bodies and responses; nil means a Memory of MaxMemory.
+	Memory *memory.Memory
 	// StallTimeout limits how long a caller may send no byte of its body or read no byte of the response, by default
 	// DefaultStallTimeout.
 	StallTimeout time.Duration
@@ -111,6 +113,9 @@
 	if c.Registry == nil {
 		c.Registry = metrics.NewRegistry()
 	}
+	if c.Memory == nil {
+		c.Memory = memory.New(c.MaxMemory, c.Registry)
+	}
 	g := &Gateway{
 		engine:         c.Engine,
 		log:            c.Log,
@@ -118,7 +123,7 @@
 		maxBody:        c.MaxBody,
 		maxClaimedBody: min(c.MaxClaimedBody, c.MaxBody),
 		transports:     transports{openTunnel: c.OpenTunnel, byKind: make(map[transportKind]*http.Transport)},
-		memory:         memory.New(c.MaxMemory, c.Registry),
+		memory:         c.Memory,
 		latency:        latencies{registry: c.Registry},
 
 		stallTimeout: c.StallTimeout,
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"bluebellhold/internal/drain"
 	"bluebellhold/internal/steering"
 )
 
@@ -36,6 +37,14 @@
 		retryAfterMs = max(r.RetryAt.Sub(now).Milliseconds(), 1)
 		w.Header().Set("Retry-After", strconv.FormatInt((retryAfterMs+999)/1000, 10))
 	}
+	body := refusalBody(r, retryAfterMs)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Outcome", string(r.Outcome))
+	w.WriteHeader(r.Status())
+	_, _ = w.Write(body)
+}
+
+func refusalBody(r steering.Refusal, retryAfterMs int64) []byte {
 	body, err := json.Marshal(struct {
 		Code    steering.Code    `json:"code"`
 		Outcome steering.Outcome `json:"outcome"`
@@ -45,8 +54,17 @@
 	if err != nil {
 		panic("gateway: refusal cannot be encoded: " + err.Error())
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Outcome", string(r.Outcome))
-	w.WriteHeader(r.Status())
-	_, _ = w.Write(body)
+	return body
+}
+
+// Refusal returns the body with which a request is refused for which the process has no room.
+func Refusal() string {
+	return string(refusalBody(
+		steering.Refusal{Code: steering.CodeQueueFull, Outcome: steering.NotRun}, drain.RefusalDelay.Milliseconds(),
+	))
+}
+
+// RefusalHeader returns what the header of such a refusal has beside the usual fields.
+func RefusalHeader() map[string]string {
+	return map[string]string{headerOutcome: string(steering.NotRun)}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -11,6 +11,7 @@
 	"github.com/gorilla/mux"
 
 	"bluebellhold/id"
+	"bluebellhold/internal/drain"
 	"bluebellhold/internal/memory"
 	"bluebellhold/internal/steering"
 )
@@ -139,7 +140,7 @@
 	// One byte more than the limit tells a body that is larger.
 	_, err := x.body.Fill(x.r.Context(), (*stallTimeoutReader)(x), id.Bytes(x.r.ContentLength), limit+1, memory.Requester{})
 	if err != nil {
-		x.memoryShort = errors.As(err, new(*memory.ShortError))
+		x.memoryShort = errors.As(err, new(*memory.ShortError)) || errors.As(err, new(*drain.EvictedError))
 		return false
 	}
 	x.bodyBuffered = id.Bytes(len(x.body.Bytes())) <= limit
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -135,6 +135,7 @@
 	c.checkRange("limits.memory", int64(s.Limits.MaxMemory), 1<<20, 1<<40)
 	c.checkRange("limits.header", int64(s.Limits.MaxHeader), 1<<10, 1<<20)
 	c.checkRange("limits.queue", int64(s.Limits.QueueClassLimit), 1, 1_000_000)
+	c.checkDescriptors("limits.descriptors", s.Limits.Descriptors)
 }
 
 func (c *checker) checkRange(path string, value, minValue, maxValue int64) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -65,11 +65,13 @@
 
 // Limits bounds the requests that one instance holds in memory. MaxClaimedBody is for non-idempotent requests,
 // MaxMemory for all bodies and responses together, and QueueClassLimit for the queued requests of one class of a service.
+// Descriptors is the number of descriptors that the process may open; zero means the limit of the process.
 type Limits struct {
 	MaxClaimedBody  id.Bytes `json:"body,omitempty"`
 	MaxMemory       id.Bytes `json:"memory,omitempty"`
 	MaxHeader       id.Bytes `json:"header,omitempty"`
 	QueueClassLimit int      `json:"queue,omitempty"`
+	Descriptors     int64    `json:"descriptors,omitempty"`
 }
 
 // String returns the settings as JSON without the contents of secret files.
--- a/server.go
+++ b/server.go
@@ -13,13 +13,11 @@
 
 	"bluebellhold/id"
 	"bluebellhold/internal/drain"
+	"bluebellhold/internal/gateway"
+	"bluebellhold/internal/occupancy"
 	"bluebellhold/internal/tcp"
 )
 
-// callerBufferBytes is the size of each of the kernel's buffers of a caller's connection, which count towards the memory of
-// the process. It does for 1,000 Mbit/s at a round trip of 2 ms, and 20 Mbit/s at 100 ms.
-const callerBufferBytes = 256 << 10
-
 // server is an HTTP server with its listener.
 type server struct {
 	listener    net.Listener
@@ -31,26 +29,41 @@
 // closeQuietInterval is how often a server that is shut down closes the connections on which nothing has arrived.
 const closeQuietInterval = 20 * time.Millisecond
 
-func newServer(address string, handler http.Handler, tlsConfig *tls.Config, maxHeader id.Bytes) (*server, error) {
+// serverConfig configures a server.
+type serverConfig struct {
+	address   string
+	handler   http.Handler
+	tls       *tls.Config
+	maxHeader id.Bytes
+	// clients counts the connections; nil counts nothing. door is the kind of the address.
+	clients *occupancy.Clients
+	door    occupancy.Door
+	// timeout bounds the time of a request, from its first byte to the end of its response; zero means that the handler bounds it.
+	timeout time.Duration
+}
+
+func newServer(c serverConfig) (*server, error) {
 	config := net.ListenConfig{
-		Control: func(_, _ string, raw syscall.RawConn) error { return tcp.LimitBuffers(raw, callerBufferBytes) },
+		Control: func(_, _ string, raw syscall.RawConn) error { return tcp.LimitBuffers(raw, drain.BufferBytes) },
 	}
-	listener, err := config.Listen(context.Background(), "tcp", address)
+	listener, err := config.Listen(context.Background(), "tcp", c.address)
 	if err != nil {
-		return nil, &ListenError{Address: address, Cause: err}
+		return nil, &ListenError{Address: c.address, Cause: err}
 	}
 	s := &server{httpServer: &http.Server{
-		IdleTimeout:    idleTimeout,
-		MaxHeaderBytes: int(maxHeader),
-	}, connections: drain.New(drain.Config{HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, TLS: tlsConfig})}
+		IdleTimeout: idleTimeout, MaxHeaderBytes: int(c.maxHeader), ReadTimeout: c.timeout, WriteTimeout: c.timeout,
+	}, connections: drain.New(drain.Config{
+		HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, TLS: c.tls, Clients: c.clients, Door: c.door,
+		HoldsWrites: c.door == occupancy.Control, Refusal: gateway.Refusal(), RefusalHeader: gateway.RefusalHeader(),
+	})}
 	s.listener = s.connections.Listen(listener)
 	s.httpServer.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.isClosing.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		handler.ServeHTTP(w, r)
+		c.handler.ServeHTTP(w, r)
 	})
-	s.httpServer.ConnState = s.connections.Track
+	s.connections.Attach(s.httpServer)
 	return s, nil
 }
 
--- a/server_test.go
+++ b/server_test.go
@@ -14,10 +14,13 @@
 // Guards against a shutdown that waits for a caller which sends its next request at once, up to the end of its time, and then
 // cuts one off.
 func TestShutdownEndsBusyConnections(t *testing.T) {
-	s, err := newServer("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		time.Sleep(30 * time.Millisecond)
-		_, _ = io.WriteString(w, "answer")
-	}), nil, 1<<16)
+	s, err := newServer(serverConfig{
+		address: "127.0.0.1:0", maxHeader: 1 << 16,
+		handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(30 * time.Millisecond)
+			_, _ = io.WriteString(w, "answer")
+		}),
+	})
 	require.NoError(t, err)
 	var goroutines sync.WaitGroup
 	s.start(&goroutines)
