Let slow readers make room for requests that wait for an upstream

In a fleet run by release notes, ordinary requests waited up to 20 s behind 150 slow readers of large responses, and four attempts of 3 s got no answer.

Cause: a large response is streamed, and its connection to the upstream, one of 64, is taken until the caller has read it or has read nothing for 10 s. Ruled out: memory and descriptors, both far from their bounds.

Change: a request that waits for a connection for 200 ms makes a client give way that has stalled within its request.

--- a/instance.go
+++ b/instance.go
@@ -106,7 +106,7 @@
 	})
 	i.gateway = gateway.New(gateway.Config{
 		Engine: i, Log: i.log.WithPrefix("gateway"), Registry: c.Registry, MaxBody: c.MaxBody,
-		MaxClaimedBody: c.MaxClaimedBody, Memory: counted, OpenTunnel: i.openTunnel,
+		MaxClaimedBody: c.MaxClaimedBody, Memory: counted, OpenTunnel: i.openTunnel, Relieve: i.clients.Relieve,
 	})
 	if err := i.listen(); err != nil {
 		i.close()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -66,7 +66,9 @@
 func (a *attempt) roundTrip() (*http.Response, error) {
 	for {
 		a.startBodyStream()
+		stop := a.relieveWhileWaiting()
 		response, err := a.checkResponse(a.gateway.transportFor(a.dispatch).RoundTrip(a.upstreamRequest()))
+		stop()
 		var deadlineErr *DispatchDeadlineError
 		if err == nil || a.guard.sent.Load() || a.bodyReadStarted() || !a.guard.reused.Swap(false) ||
 			errors.As(err, &deadlineErr) || a.ctx.Err() != nil {
@@ -75,6 +77,33 @@
 	}
 }
 
+// connectionPatience is how long a request waits for a connection to an upstream before a stalled client makes room for it.
+const connectionPatience = 200 * time.Millisecond
+
+// relieveWhileWaiting evicts stalled clients while the attempt waits for a connection, since callers that don't read their
+// responses occupy those to the upstream. The returned function ends that.
+func (a *attempt) relieveWhileWaiting() (stop func()) {
+	var timer *time.Timer
+	var mu sync.Mutex
+	isStopped := false
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(connectionPatience, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if !isStopped && a.guard.conn.Load() == nil {
+			a.gateway.relieve()
+			timer.Reset(connectionPatience)
+		}
+	})
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		isStopped = true
+		timer.Stop()
+	}
+}
+
 // checkResponse rejects responses that must not be forwarded: one that began before the request was sent belongs to
 // another request, and a protocol switch was not requested.
 func (a *attempt) checkResponse(response *http.Response, err error) (*http.Response, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,6 +69,9 @@
 	// MaxMemory limits the bodies and responses that are in memory at the same time, by default DefaultMaxMemory. Requests
 	// may use five eighths of it.
 	MaxMemory id.Bytes
+	// Relieve evicts a client that has stalled, since another one waits for a connection to an upstream, and reports whether there
+	// was one; nil evicts none.
+	Relieve func() bool
 	// Memory counts these bodies and responses; nil means a Memory of MaxMemory.
 	Memory *memory.Memory
 	// StallTimeout limits how long a caller may send no byte of its body or read no byte of the response, by default
@@ -84,6 +87,7 @@
 	maxBody            id.Bytes
 	maxClaimedBody     id.Bytes
 	memory             *memory.Memory
+	relieve            func() bool
 	router             *mux.Router
 	transports         transports
 	lastRequestID      atomic.Uint64
@@ -113,6 +117,9 @@
 	if c.Registry == nil {
 		c.Registry = metrics.NewRegistry()
 	}
+	if c.Relieve == nil {
+		c.Relieve = func() bool { return false }
+	}
 	if c.Memory == nil {
 		c.Memory = memory.New(c.MaxMemory, c.Registry)
 	}
@@ -124,6 +131,7 @@
 		maxClaimedBody: min(c.MaxClaimedBody, c.MaxBody),
 		transports:     transports{openTunnel: c.OpenTunnel, byKind: make(map[transportKind]*http.Transport)},
 		memory:         c.Memory,
+		relieve:        c.Relieve,
 		latency:        latencies{registry: c.Registry},
 
 		stallTimeout: c.StallTimeout,
