End the goroutine of a connection that is closed early

Clients that send half a body and reset their connection, again and again, made a process use 102 MiB of 96, or kept ordinary callers out once connections counted until nothing serves them.

Cause: net/http sleeps for 500 ms before it closes a connection whose body it has not read, in a goroutine with its stack and buffers, whether or not the client is still there. Thousands of them slept at a time.

Change: CloseWrite, which net/http calls before it sleeps, ends the goroutine with http.ErrAbortHandler; internal/drain lingers on the connection itself, which it did before too, and counts it as one that closes.

--- a/internal/drain/connections.go
+++ b/internal/drain/connections.go
@@ -147,8 +147,14 @@
 // NetConn returns the connection below.
 func (c *connection) NetConn() net.Conn { return c.Conn }
 
-// CloseWrite shuts down the writing side, so that the caller can read the end of a response before the connection closes.
+// CloseWrite is what net/http calls before it closes a connection whose request it has not read whole. Then it sleeps, and its
+// goroutine would take memory for a client that may be long gone; CloseWrite ends the goroutine instead, and Close lingers.
 func (c *connection) CloseWrite() error {
+	panic(http.ErrAbortHandler)
+}
+
+// closeWrite shuts down the writing side, so that the caller can read the end of a response before the connection closes.
+func (c *connection) closeWrite() error {
 	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return closer.CloseWrite()
 	}
@@ -249,7 +255,7 @@
 	c.client.Release()
 	c.client.Enter(occupancy.Closing)
 	// Errors mean that the connection has ended.
-	if c.CloseWrite() == nil && c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
+	if c.closeWrite() == nil && c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
 		_, _ = io.Copy(io.Discard, c.Conn)
 	}
 	_ = c.Conn.Close()
