Believe no answer without the status of one, and nothing behind it

Cause: http.ReadResponse takes any three digits, and the checks behind it compared with one bound only. Ruled out: a panic of WriteHeader, since no status below 200 was delivered.

Change: internal/answer says what an answer is: version 1, status 200 to 599; before it, statuses from 100 without 101 and without a body. Everything else is a broken answer in both ways of running: the request may have run, and its connection is closed. A kept answer with another status, of an earlier release, is reported as not kept.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -13,6 +13,7 @@
 
 	"bluebellhold/claim"
 	"bluebellhold/id"
+	"bluebellhold/internal/answer"
 	"bluebellhold/internal/memory"
 	"bluebellhold/internal/steering"
 	"bluebellhold/internal/tcp"
@@ -104,15 +105,16 @@
 	}
 }
 
-// checkResponse rejects responses that must not be forwarded: one that began before the request was sent belongs to
-// another request, and a protocol switch was not requested.
+// checkResponse rejects responses that must not be forwarded: one that began before the request was sent belongs to another
+// request, and one without the status of an answer is none. Nothing that follows on their connection is read.
 func (a *attempt) checkResponse(response *http.Response, err error) (*http.Response, error) {
 	if err != nil {
 		return nil, err
 	}
-	if !a.guard.earlyResponse.Load() && response.StatusCode >= http.StatusOK {
+	if !a.guard.earlyResponse.Load() && answer.IsFinal(response) {
 		return response, nil
 	}
+	_ = a.guard.conn.Load().Close()
 	_ = response.Body.Close()
 	return nil, &UnexpectedResponseError{Status: response.StatusCode}
 }
--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -125,3 +126,60 @@
 		require.NotEqual(t, "steering.Answered", fmt.Sprintf("%T", e.nextOutcome(t)))
 	}
 }
+
+// invalidHeads begin bytes that are no answer, since their status or their version is none.
+var invalidHeads = []string{
+	"HTTP/1.1 000 None", "HTTP/1.1 001 None", "HTTP/1.1 099 None", "HTTP/1.1 +20 None", "HTTP/1.1 600 None", "HTTP/1.1 777 None",
+	"HTTP/1.1 999 None", "HTTP/2.0 200 OK",
+	// An interim response has no body, and what follows it does not belong to it.
+	"HTTP/1.1 103 Early Hints\r\nContent-Length: 5",
+}
+
+// invalidFields follow them.
+var invalidFields = []string{"", "Content-Length: 0\r\n", fmt.Sprintf("Content-Length: %d\r\n", len(okResponse))}
+
+// Guards against bytes that are no answer and reach the caller as one, and against a connection that is used again behind them.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	var reused atomic.Int32
+	e := &engine{attemptTimeout: 5 * time.Second}
+	e.upstream = serveTCP(t, func(c *net.TCPConn, r *bufio.Reader) {
+		for isInvalid := false; ; {
+			request, _ := readRequest(r)
+			if request == nil {
+				return
+			}
+			if isInvalid {
+				reused.Add(1)
+			}
+			var head, fields int
+			if _, err := fmt.Sscanf(request.URL.Path, "/%d/%d", &head, &fields); err != nil {
+				_, _ = io.WriteString(c, okResponse)
+				continue
+			}
+			_, _ = io.WriteString(c, invalidHeads[head]+"\r\n"+invalidFields[fields]+"\r\n"+okResponse)
+			isInvalid = true
+		}
+	})
+	address := e.start(t, gateway.Config{})
+	for n, head := range invalidHeads {
+		for m, fields := range invalidFields {
+			for _, claimed := range []bool{false, true} {
+				if strings.Contains(head, "\r\n") && fields != "" {
+					continue
+				}
+				t.Run(fmt.Sprintf("%s/%s/claimed=%v", head, strings.TrimSpace(fields), claimed), func(t *testing.T) {
+					e.claimed = claimed
+					response, body, complete := sendRaw(t, address, getRequest(fmt.Sprintf("/%d/%d", n, m))).readResponse(t, http.MethodGet)
+					require.True(t, complete)
+					require.Equal(t, http.StatusBadGateway, response.StatusCode, "%s", body)
+					require.IsType(t, steering.Broken{}, e.nextOutcome(t))
+					e.claimed = false
+					_, _, complete = sendRaw(t, address, getRequest("/prime")).readResponse(t, http.MethodGet)
+					require.True(t, complete)
+					require.IsType(t, steering.Answered{}, e.nextOutcome(t))
+					require.Zero(t, reused.Load(), "the connection is used again")
+				})
+			}
+		}
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -11,6 +11,7 @@
 	"github.com/gorilla/mux"
 
 	"bluebellhold/id"
+	"bluebellhold/internal/answer"
 	"bluebellhold/internal/drain"
 	"bluebellhold/internal/memory"
 	"bluebellhold/internal/steering"
@@ -290,7 +291,7 @@
 }
 
 func (x *exchange) replay(e steering.Replay) {
-	if e.Response.Truncated {
+	if e.Response.Truncated || !answer.IsFinalStatus(e.Response.Status) {
 		x.refuse(steering.Refusal{Code: steering.CodeResponseNotStored, Outcome: steering.Ran})
 		return
 	}
--- a/internal/gateway/transport.go
+++ b/internal/gateway/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"time"
 
 	"bluebellhold/id"
+	"bluebellhold/internal/answer"
 	"bluebellhold/internal/tcp"
 )
 
@@ -244,6 +246,12 @@
 		// The transport may still report the first response byte of a connection that it has discarded while it gets the
 		// next one.
 		GotFirstResponseByte: func() { guard.conn.Load().markEarlyResponse() },
+		Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
+			if !answer.IsInterimHead(status, http.Header(header)) {
+				return &UnexpectedResponseError{Status: status}
+			}
+			return nil
+		},
 	})
 }
 
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"bluebellhold/id"
+	"bluebellhold/internal/answer"
 	"bluebellhold/internal/entry"
 	"bluebellhold/internal/memory"
 	"bluebellhold/internal/tcp"
@@ -330,19 +331,20 @@
 	}
 }
 
-// readFinalResponse skips interim responses and returns the final one with its body unread. A response that switches
-// protocols is an error.
+// readFinalResponse skips interim responses and returns the final one with its body unread. Anything else is an error: nothing
+// tells where it ends, so that no answer is looked for behind it.
 func readFinalResponse(r *bufio.Reader, request *http.Request) (*http.Response, error) {
+	var status int
 	for range maxInterimResponses {
 		response, err := http.ReadResponse(r, request)
-		if err != nil || response.StatusCode >= http.StatusOK {
+		if err != nil || answer.IsFinal(response) {
 			return response, err
 		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
+		if status = response.StatusCode; !answer.IsInterim(response) {
 			break
 		}
 	}
-	return nil, &UnexpectedResponseError{Status: http.StatusSwitchingProtocols}
+	return nil, &UnexpectedResponseError{Status: status}
 }
 
 // readResponseBody reads a whole body of at most maxResponseBytes into memory that is counted ahead.
@@ -387,7 +389,7 @@
 	return p
 }
 
-// UnexpectedResponseError reports a response that does not match the request or cannot be forwarded. Status is 0 if no
+// UnexpectedResponseError reports a response that does not match the request, cannot be forwarded or is none. Status is 0 if no
 // response matched.
 type UnexpectedResponseError struct {
 	Status int
--- a/internal/ingress/cut_test.go
+++ b/internal/ingress/cut_test.go
@@ -123,3 +123,33 @@
 		require.IsType(t, entry.Broken{}, outcome, lines)
 	}
 }
+
+// invalidHeads begin bytes that are no answer, since their status or their version is none.
+var invalidHeads = []string{
+	"HTTP/1.1 000 None", "HTTP/1.1 001 None", "HTTP/1.1 099 None", "HTTP/1.1 +20 None", "HTTP/1.1 600 None", "HTTP/1.1 777 None",
+	"HTTP/1.1 999 None", "HTTP/1.1 101 Switching Protocols", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK",
+	// An interim response has no body, and what follows it does not belong to it.
+	"HTTP/1.1 100 Continue\r\nContent-Length: 5", "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked",
+}
+
+// Guards against bytes that are no answer and reach the caller as one, that are taken for a refusal, or behind which an answer is
+// read: it may be their body.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	const behind = "HTTP/1.1 200 OK\r\n" + signedHead + "Content-Length: 6\r\n\r\nbehind"
+	for _, head := range invalidHeads {
+		for _, fields := range []string{
+			"", "Content-Length: 0\r\n", fmt.Sprintf("Content-Length: %d\r\n", len(behind)), "X-Bluebellhold-Not-Executed: 1\r\n",
+		} {
+			if strings.Contains(head, "\r\n") && fields != "" {
+				continue
+			}
+			for _, carried := range []int{0, 3} {
+				outcome, _, body := readAnswer(t, "GET", head+"\r\n"+signedHead+fields+"\r\n"+behind, false, carried)
+				require.IsType(t, entry.Broken{}, outcome, "%q with %q: %q", head, fields, body)
+			}
+		}
+	}
+	outcome, status, _ := readAnswer(t, "GET", "HTTP/1.1 599 Odd\r\n"+signedHead+"Content-Length: 0\r\n\r\n", false, 0)
+	require.IsType(t, entry.Answered{}, outcome, "a status that nobody has registered is one")
+	require.Equal(t, 599, status)
+}
