Count each buffer of the kernel once, and spare callers that have read their response

A client whose last response had not left when its request ended counted as one that does not read until its next request, also if it took the response a moment later: callers with slow connections made room before idle ones. And each part of a body that net/http reads behind a handler counted as another request sent ahead, up to 4 MiB for a body of 256 KiB. Both were found by reading, not seen.

The unsent output is looked at again before the client is closed, and what is sent ahead counts once a request. TestReadResponseMakesNoRoom guards the first.

--- a/internal/drain/connections.go
+++ b/internal/drain/connections.go
@@ -128,10 +128,12 @@
 	isReading, hasArrived bool
 	// headAt is when the first byte of the current head arrived, later by as long as the process has held up its caller.
 	headAt time.Time
-	// hasBody is set once the server has waited for bytes of the current request's body, and isReadingBody while it does.
-	hasBody, isReadingBody bool
-	// isWriting is set while the client does not take what is written.
-	isWriting bool
+	// hasBody is set once the server has waited for bytes of the current request's body, and isReadingBody while it does. isAhead is
+	// set once bytes behind the current request have arrived. In both cases, the kernel's buffer counts.
+	hasBody, isReadingBody, isAhead bool
+	// isWriting is set while the client does not take what is written, and isUnread if it had not taken the last response whole at
+	// the end of its request.
+	isWriting, isUnread bool
 	// isInterrupted is set while closeQuiet has interrupted a read.
 	isInterrupted bool
 	// isClosed is set once the connection has been closed, and isLingering while it waits for its caller to close it.
@@ -190,8 +192,9 @@
 	isInterrupted := c.isInterrupted
 	c.isInterrupted = false
 	*isHead = n > 0 && !c.isActive
-	if n > 0 && c.isActive && !c.isReadingBody {
+	if n > 0 && c.isActive && !c.hasBody && !c.isAhead {
 		// The client has sent another request ahead, which stays in the kernel.
+		c.isAhead = true
 		c.client.Charge(kernelBytes)
 	}
 	switch {
@@ -272,7 +275,7 @@
 func (c *connection) setState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isActive, c.hasBody, c.isReadingBody = state == http.StateActive, false, false
+	c.isActive, c.hasBody, c.isReadingBody, c.isAhead, c.isUnread = state == http.StateActive, false, false, false, false
 	switch state {
 	case http.StateActive:
 		c.client.Enter(occupancy.Running)
@@ -284,6 +287,7 @@
 		c.hasArrived = false
 		c.client.Release()
 		if tcp.HasUnsentOutput(c.Conn) {
+			c.isUnread = true
 			c.client.Charge(kernelBytes)
 			c.client.Enter(occupancy.Response)
 			return
--- a/internal/drain/room.go
+++ b/internal/drain/room.go
@@ -170,16 +170,16 @@
 	c.isWriting = isWriting
 }
 
-// evict closes the connection to make room for another one, unless the server works on a request, and reports whether it did. If
-// it is polite, the server first refuses the request whose body it waits for.
+// evict closes the connection to make room for another one, unless the client has made progress or the server works on its request,
+// and reports whether it did. If it is polite, the server first refuses the request whose body it waits for.
 func (c *connection) evict(isPolite bool) bool {
 	c.mu.Lock()
-	if c.isActive && !c.isReadingBody && !c.isWriting && !c.isLingering {
+	if c.hasProgressed() {
 		c.mu.Unlock()
 		return false
 	}
 	isPolite = isPolite && c.isActive && !c.isLingering
-	mayLookComplete := c.isWriting
+	mayLookComplete := c.isWriting || c.isUnread
 	c.isEvicted = true
 	if isPolite {
 		_ = c.Conn.SetReadDeadline(pastDeadline)
@@ -199,6 +199,21 @@
 	return true
 }
 
+// hasProgressed reports whether the connection has left the phase in which it makes room for others. The caller holds mu.
+func (c *connection) hasProgressed() bool {
+	switch {
+	case c.isLingering || c.isReadingBody || c.isWriting:
+		return false
+	case c.isUnread && !tcp.HasUnsentOutput(c.Conn):
+		// The client has taken its last response since.
+		c.isUnread = false
+		c.client.Drop(kernelBytes)
+		c.client.Enter(occupancy.Idle)
+		return true
+	}
+	return c.isActive
+}
+
 // abort closes a connection whose client has been told why.
 func (c *connection) abort() {
 	tcp.Abort(c.Conn)
--- a/internal/drain/room_test.go
+++ b/internal/drain/room_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -168,3 +169,36 @@
 	}
 	require.Eventually(t, func() bool { return s.handled.Load() == 0 && s.CloseQuiet().Total() == 0 }, 10*time.Second, time.Millisecond)
 }
+
+// Guards against a caller with a slow connection that counts as one that does not read, although it has taken its last response.
+func TestReadResponseMakesNoRoom(t *testing.T) {
+	const size = 4 << 20
+	s := newCountedServer(t, 64<<20, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		_, _ = w.Write(make([]byte, size))
+	})
+	var late, unread []*client
+	for range mostCallers - 2 {
+		late = append(late, s.dial())
+	}
+	unread = append(unread, s.dial())
+	for _, c := range append(late, unread...) {
+		c.send(t, "GET / HTTP/1.1\r\nHost: example\r\n\r\n")
+	}
+	time.Sleep(50 * time.Millisecond)
+	for _, c := range late {
+		status, _ := c.status(t)
+		require.Equal(t, http.StatusOK, status)
+	}
+	for range 2 {
+		s.dial()
+	}
+	// The last one is closed in the middle of its response.
+	_, err := io.ReadAll(unread[0])
+	require.Error(t, err)
+	for _, c := range late {
+		c.send(t, "GET / HTTP/1.1\r\nHost: example\r\n\r\n")
+		status, _ := c.status(t)
+		require.Equal(t, http.StatusOK, status)
+	}
+}
