Bound the search for a client that makes room

A client whose phase says that it makes no progress, and which refuses to be closed since it has, would have been chosen again and again.

--- a/internal/occupancy/clients.go
+++ b/internal/occupancy/clients.go
@@ -211,7 +211,7 @@
 // evictOne evicts the client that has made no progress for the longest time, measured by what its phase allows, and reports whether
 // there was one. Among callers, it evicts a caller.
 func (c *Clients) evictOne(among Door, n need) bool {
-	for {
+	for range maxVictims {
 		client, isPolite := c.takeVictim(among, n)
 		if client == nil {
 			return false
@@ -223,6 +223,7 @@
 		}
 		c.spare(client)
 	}
+	return false
 }
 
 // logShort logs, at most once per logInterval, that there is no room for all clients.
