--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,6 +32,16 @@
 // lastLinesTimeout is how long the end of a process without a grace period waits for the output to take the last lines.
 const lastLinesTimeout = time.Second
 
+// startConfig is what the command line says.
+type startConfig struct {
+	settings string
+	// checkOnly is set if the settings are only to be checked.
+	checkOnly bool
+	// descriptors is the number of descriptors that the process may open; zero means that it is not given.
+	descriptors int64
+	to          outputs
+}
+
 // outputs are where the daemon writes to: messages are what the command line prints, such as the error that ends it.
 type outputs struct{ messages, log io.Writer }
 
@@ -53,6 +63,7 @@
 			&cli.StringFlag{Name: "settings", Usage: "read the settings from `FILE`", Required: true},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings, in which every field must be known, and exit"},
 			&cli.BoolFlag{Name: "entry", Usage: "follow the platform's store instead of release notes"},
+			&cli.Int64Flag{Name: "descriptors", Usage: "open at most `N` descriptors, unless the settings say how many"},
 		},
 		Writer:         w,
 		ErrWriter:      w,
@@ -64,11 +75,17 @@
 			if c.Args().Present() {
 				return &UsageError{Text: "unknown argument " + c.Args().First()}
 			}
+			start := startConfig{
+				settings: c.String("settings"), checkOnly: c.Bool("check"), descriptors: c.Int64("descriptors"), to: to,
+			}
+			if start.descriptors < 0 {
+				return &UsageError{Text: "--descriptors is below zero"}
+			}
 			if c.Bool("entry") {
-				to.log = os.Stdout
-				return runEntry(ctx, c.String("settings"), c.Bool("check"), to)
+				start.to.log = os.Stdout
+				return runEntry(ctx, start)
 			}
-			return run(ctx, c.String("settings"), c.Bool("check"), to)
+			return run(ctx, start)
 		},
 	}
 	err := command.Run(context.Background(), arguments)
@@ -87,9 +104,10 @@
 	return ExitUsage
 }
 
-// run checks the settings and, unless checkOnly is set, serves until a planned stop is complete.
-func run(ctx context.Context, path string, checkOnly bool, to outputs) error {
-	if checkOnly {
+// run checks the settings and, unless they are only to be checked, serves until a planned stop is complete.
+func run(ctx context.Context, start startConfig) error {
+	path, to := start.settings, start.to
+	if start.checkOnly {
 		if err := settings.Check(path); err != nil {
 			return err
 		}
@@ -109,10 +127,11 @@
 	if err != nil {
 		return err
 	}
-	if checkOnly {
+	if start.checkOnly {
 		_, err := fmt.Fprintln(to.messages, "settings are valid")
 		return err
 	}
+	config.MaxDescriptors = descriptorLimit(s.Limits.Descriptors, start.descriptors)
 	logs = logwriter.New(logwriter.Config{
 		Output:  to.log,
 		Options: log.Options{Level: level, ReportTimestamp: true, TimeFormat: time.RFC3339Nano},
@@ -184,7 +203,6 @@
 
 		MaxClaimedBody:  s.Limits.MaxClaimedBody,
 		MaxMemory:       s.Limits.MaxMemory,
-		MaxDescriptors:  descriptorLimit(s.Limits.Descriptors),
 		MaxHeader:       s.Limits.MaxHeader,
 		QueueClassLimit: s.Limits.QueueClassLimit,
 	}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -39,12 +39,13 @@
 	gcPercent = 200
 )
 
-// runEntry checks the settings and, unless checkOnly is set, serves until a stop signal.
-func runEntry(ctx context.Context, path string, checkOnly bool, to outputs) error {
+// runEntry checks the settings and, unless they are only to be checked, serves until a stop signal.
+func runEntry(ctx context.Context, start startConfig) error {
+	path, to := start.settings, start.to
 	// The settings may change at any time, and SIGHUP ends a process that does not handle it yet.
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
-	if checkOnly {
+	if start.checkOnly {
 		if err := settings.CheckEntry(path); err != nil {
 			return err
 		}
@@ -57,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	if checkOnly {
+	if start.checkOnly {
 		_, err := fmt.Fprintln(to.messages, "settings are valid")
 		return err
 	}
@@ -68,6 +69,7 @@
 	logPassedOver(logs.Logger(), s.PassedOver)
 	discardStandardLog()
 	config := entryConfig(s, logs)
+	config.Descriptors = descriptorLimit(s.Descriptors, start.descriptors)
 	debug.SetMemoryLimit(int64(config.MemoryLimit) * memoryLimitPercent / 100)
 	debug.SetGCPercent(gcPercent)
 	logAlwaysOn(s.Features, logs.Logger())
@@ -103,8 +105,7 @@
 		LookupAddress: s.LookupAddress, MetricsAddress: s.MetricsAddress,
 		PeerAddress: s.PeerAddress, LinkCapacity: int(s.LinkMbps),
 		Bounds: entryBounds(s.Bounds), MemoryLimit: id.Bytes(s.MemoryMiB) << 20,
-		Descriptors: descriptorLimit(s.Descriptors),
-		Feed:        platform.NewStoreClient(s.StoreAddress),
+		Feed: platform.NewStoreClient(s.StoreAddress),
 		Tables: ingress.Tables{
 			Operator: platform.OperatorTable, Upstreams: platform.ServersTable, Members: membersTable,
 			Groups: groupsTable, Secrets: secretsTable, Documents: documentsTable,
@@ -116,15 +117,17 @@
 	}
 }
 
-// descriptorLimit returns the number of descriptors that the process may open: what the settings say, if anything, but at most
-// the limit of the process.
-func descriptorLimit(setting int64) int {
+// descriptorLimit returns the number of descriptors that the process may open: the first of the numbers that is above zero, but at
+// most the limit of the process.
+func descriptorLimit(numbers ...int64) int {
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > maxDescriptors {
 		limit.Cur = maxDescriptors
 	}
-	if setting > 0 {
-		return int(min(uint64(setting), limit.Cur))
+	for _, n := range numbers {
+		if n > 0 {
+			return int(min(uint64(n), limit.Cur))
+		}
 	}
 	return int(limit.Cur)
 }
