Leave room for small bodies beside large ones

For responses, small ones had a part already.

Bodies of up to 16 KiB now use the part that larger ones leave free, as small responses do; without a known priority they count as one tier more urgent than large ones.

--- a/internal/memory/ledger.go
+++ b/internal/memory/ledger.go
@@ -12,9 +12,11 @@
 	// available to bodies and responses, of which they leave a half free.
 	clientParts = 4
 	// tiers divide the memory: requests leave one of tierParts free for each more urgent priority, up to maxTier. Bodies of
-	// requests and large responses leave one more, so that there is always room for small requests.
+	// requests above smallBodySize and large responses leave one more, so that there is always room for small requests.
 	tierParts = 8
 	maxTier   = 3
+	// smallBodySize is the size up to which a body finds room beside large ones.
+	smallBodySize = id.Bytes(16 << 10)
 	// largeSize is the size above which an expected response is large.
 	largeSize = id.Bytes(64 << 10)
 	// priorityMemory is how long a priority counts as present after its last request.
@@ -76,9 +78,20 @@
 	return false
 }
 
+// bodyTier returns the tier of the requests on whose behalf a body is read.
+func (l *ledger) bodyTier(now time.Time, from Requester) int {
+	if from.IsKnown {
+		return l.tier(now, from.Priority)
+	}
+	return maxTier - 1
+}
+
 // holdBody counts memory for a body that is read, and reports whether there is enough.
 func (l *ledger) holdBody(size id.Bytes, tier int) bool {
-	if l.used()+size > l.allowed(largeTier(tier)) {
+	if size > smallBodySize {
+		tier = largeTier(tier)
+	}
+	if l.used()+size > l.allowed(min(tier, maxTier)) {
 		return false
 	}
 	l.held += size
--- a/internal/memory/ledger_test.go
+++ b/internal/memory/ledger_test.go
@@ -115,3 +115,18 @@
 	require.True(t, <-done)
 	require.Zero(t, m.waiters)
 }
+
+// Guards against large bodies that leave no room at all, so that a request with a small one is refused as long as others wait for
+// what is released.
+func TestLargeBodiesLeaveRoomForSmallOnes(t *testing.T) {
+	for _, from := range []Requester{{}, {Priority: late, IsKnown: true}} {
+		m := New(16<<20, metrics.NewRegistry())
+		m.ledger.tier(start, urgent)
+		for m.ledger.holdBody(1<<20, m.ledger.bodyTier(start, from)) {
+			continue
+		}
+		for range 100 {
+			require.True(t, m.ledger.holdBody(1<<10, m.ledger.bodyTier(start, from)))
+		}
+	}
+}
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -59,11 +59,7 @@
 // holdBody counts memory for a body. It waits for memory for a short time, and reports whether there is enough.
 func (m *Memory) holdBody(ctx context.Context, size id.Bytes, from Requester) bool {
 	return m.holdWithin(ctx, func() bool {
-		tier := maxTier
-		if from.IsKnown {
-			tier = m.ledger.tier(time.Now(), from.Priority)
-		}
-		return m.ledger.holdBody(size, tier)
+		return m.ledger.holdBody(size, m.ledger.bodyTier(time.Now(), from))
 	}, size, m.ledger.allowed(largeTier(0)))
 }
 
